Let an answer in part leave in time for its way to the caller

Cause: answers in part left 6 ms before the objective counted from the request's arrival; a caller 3 ms away on a new connection has waited 9 ms by then and waits 3 more, so they came 2 ms late (p50 252.0 ms for 250). Change: the connection's measured round trip says when the caller began and how long the answer is on its way.

--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace foxtail {
 
@@ -158,6 +160,12 @@
   AppendEndToEndHeaders(request.headers_, message.base(), own);
   request.body_ = std::move(message.body());
   request.startedAt_ = aNow;
+  const Duration roundTrip = RoundTrip();
+  request.wayBack_ = roundTrip / 2;
+  // Before its first request a caller also waited for the connection.
+  request.begunAt_ =
+    aNow - (isFirstRequest_ ? roundTrip + roundTrip / 2 : roundTrip / 2);
+  isFirstRequest_ = false;
   int64_t left = port_.gateway_.Settings().defaultDeadline_.count();
   const std::string_view text = ToView(message[words.timeLeftMs_]);
   int64_t stated = 0;
@@ -171,6 +179,17 @@
   return request;
 }
 
+Duration CallerConnection::RoundTrip()
+{
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const int failed = ::getsockopt(
+    socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
+  // Without a measurement the margin alone has to do.
+  return failed != 0 ? Duration::zero()
+                     : Duration(microseconds(info.tcpi_rtt));
+}
+
 void CallerConnection::OnRequest(TimePoint aNow)
 {
   SetPhase(Phase::Running, aNow);
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -56,6 +56,8 @@
   void OnWritten(const Error& aError);
   void OnCallerGone(TimePoint aNow);
   void SetPhase(Phase aPhase, TimePoint aNow);
+  /// @return the round trip to the caller, as the transport has measured it.
+  Duration RoundTrip();
 
   Socket socket_;
   CallerPort& port_;
@@ -66,6 +68,7 @@
   bool isReading_ = false;
   bool isContinueSent_ = false;
   bool mustClose_ = false;
+  bool isFirstRequest_ = true;
   bool isHead_ = false;
   std::shared_ptr<Run> run_;
   std::string out_;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -27,6 +27,10 @@
   bool hasBody_ = false;
   bool isHead_ = false;
   TimePoint startedAt_{};
+  /// When the caller began, by the round trips that its bytes took.
+  TimePoint begunAt_{};
+  /// How long an answer is on its way to the caller.
+  Duration wayBack_{};
   /// When the caller stops waiting.
   TimePoint deadline_{};
 };
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -52,9 +52,9 @@
   double maxHedgeShare_ = 0.5;
   /// Part of the budget of extra sends that hedges leave to retries.
   double hedgeReserve_ = 0.25;
-  /// The answer leaves this much before the caller's deadline or objective, for
-  /// its way to the caller.
-  milliseconds answerMargin_{ 6 };
+  /// The answer leaves this much before it must, beside its way to the caller:
+  /// timers fire a little late, and merging and writing take time.
+  milliseconds answerMargin_{ 3 };
   /// How long an abandoned exchange may go on before its connection is closed,
   /// which makes the backend server drop the work but costs a new connection.
   milliseconds abandonGrace_{ 150 };
--- a/src/forward/GatherRun.cpp
+++ b/src/forward/GatherRun.cpp
@@ -22,8 +22,7 @@
   , target_(aTarget)
   , attempts_(aTarget.shards_.size())
   , parts_(aTarget.shards_.size())
-  , objectiveAt_(request_->startedAt_ + aRoute.objective_ -
-                 aContext.settings_.answerMargin_)
+  , objectiveAt_(ObjectiveAt())
 {
   for (size_t i = 0; i < attempts_.size(); ++i) {
     attempts_[i].service_ = aTarget.shards_[i];
--- a/src/forward/Run.cpp
+++ b/src/forward/Run.cpp
@@ -66,7 +66,7 @@
   , request_(std::move(aRequest))
   , finalAt_(
       std::min(request_->deadline_, request_->startedAt_ + aRoute.timeout_) -
-      aContext.settings_.answerMargin_)
+      request_->wayBack_ - aContext.settings_.answerMargin_)
   , done_(std::move(aDone))
 {
 }
--- a/src/forward/Run.h
+++ b/src/forward/Run.h
@@ -137,6 +137,12 @@
   ForwardAnswer GiveUp(std::string_view aReason, bool aIsTimeOver);
 
   const ForwardRequest& Request() const { return *request_; }
+  /// @return when an answer must leave to be within the route's objective.
+  TimePoint ObjectiveAt() const
+  {
+    return request_->begunAt_ + route_.objective_ - request_->wayBack_ -
+           context_.settings_.answerMargin_;
+  }
 
   RunContext& context_;
   const std::shared_ptr<const RouteTable> table_;
