Keep second attempts for requests that need them; end abandoned work at once

Change: a second attempt without which there is no success may use the whole budget, one that only adds value leaves 0.4, a hedge 0.2 more; abandoned exchanges are closed at the next tick; the line of a request names faults and servers that had not answered.

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -50,14 +50,19 @@
   /// Shortest and, as a part of the objective, longest delay of a hedge.
   milliseconds minHedgeDelay_{ 8 };
   double maxHedgeShare_ = 0.5;
-  /// Part of the budget of extra sends that hedges leave to retries.
-  double hedgeReserve_ = 0.25;
+  /// Part of the budget of extra sends that hedges leave to retries, which make
+  /// up for a failure that is certain.
+  double hedgeReserve_ = 0.2;
+  /// Part of the budget that is left alone by a second attempt without which a
+  /// request has no success, and by one that only adds to its value.
+  double neededReserve_ = 0;
+  double usefulReserve_ = 0.4;
   /// The answer leaves this much before it must, beside its way to the caller:
   /// timers fire a little late, and merging and writing take time.
   milliseconds answerMargin_{ 3 };
   /// How long an abandoned exchange may go on before its connection is closed,
   /// which makes the backend server drop the work but costs a new connection.
-  milliseconds abandonGrace_{ 150 };
+  milliseconds abandonGrace_{ 0 };
   /// Deadline of a request that names none.
   milliseconds defaultDeadline_{ 30000 };
   /// Suggested pause after a refusal, when nothing better is known.
--- a/src/forward/GatherRun.cpp
+++ b/src/forward/GatherRun.cpp
@@ -67,7 +67,7 @@
     parts_[shard].records_ = std::move(aExchange.reply_.body_);
     Settle(shard, PartState::Included, aNow);
   } else if (attempts_[shard].open_.empty() &&
-             !TryAgain(attempts_[shard], shard, aNow)) {
+             !TryAgain(attempts_[shard], shard, IsNeeded(), aNow)) {
     Settle(shard, PartState::GivenUp, aNow);
   }
   if (!IsDone()) {
@@ -90,8 +90,9 @@
   if (IsDone()) {
     return;
   }
+  const bool isNeeded = IsNeeded();
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
-    ConsiderHedge(attempts_[i], i, aNow);
+    ConsiderHedge(attempts_[i], i, isNeeded, aNow);
   }
 }
 
@@ -114,6 +115,12 @@
            finalAt_ };
 }
 
+bool GatherRun::IsNeeded() const
+{
+  return included_ <
+         LeastShards(static_cast<uint32_t>(parts_.size()), target_.leastShare_);
+}
+
 void GatherRun::Judge(TimePoint aNow)
 {
   switch (JudgeGather(Progress(), aNow)) {
--- a/src/forward/GatherRun.h
+++ b/src/forward/GatherRun.h
@@ -44,6 +44,8 @@
   void Settle(uint32_t aShard, PartState aState, TimePoint aNow);
   void Judge(TimePoint aNow);
   GatherProgress Progress() const;
+  /// @return whether more parts are needed for a success.
+  bool IsNeeded() const;
   ForwardAnswer Merge() const;
 
   const GatherTarget& target_;
--- a/src/forward/Run.cpp
+++ b/src/forward/Run.cpp
@@ -95,8 +95,12 @@
 bool Run::TrySend(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow)
 {
   const Duration work = stats_.Work();
-  auto choice =
-    context_.pools_.Choose(aAttempts.service_, aAttempts.tried_, work, aNow);
+  ExtraBudget& budget = context_.budgetOf_(aAttempts.service_);
+  auto choice = context_.pools_.Choose(aAttempts.service_,
+                                       aAttempts.tried_,
+                                       work,
+                                       budget.UsedShare(aNow),
+                                       aNow);
   if (!choice) {
     return false;
   }
@@ -110,7 +114,7 @@
   exchange->isExtra_ = aAttempts.sends_ > 0;
   ++aAttempts.sends_;
   if (aAttempts.sends_ == 1) {
-    context_.budgetOf_(aAttempts.service_).OnRequest(aNow);
+    budget.OnRequest(aNow);
   }
   aAttempts.tried_.push_back(choice->pool_.get());
   aAttempts.open_.push_back({ exchange, choice->pool_ });
@@ -134,7 +138,16 @@
   return true;
 }
 
-void Run::ConsiderHedge(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow)
+double Run::ReserveOf(bool aIsNeeded) const
+{
+  return aIsNeeded ? context_.settings_.neededReserve_
+                   : context_.settings_.usefulReserve_;
+}
+
+void Run::ConsiderHedge(Attempts& aAttempts,
+                        uint32_t aIndex,
+                        bool aIsNeeded,
+                        TimePoint aNow)
 {
   if (aAttempts.hedgeAt_ > aNow || aAttempts.open_.empty()) {
     return;
@@ -144,7 +157,8 @@
     return;
   }
   if (!context_.budgetOf_(aAttempts.service_)
-         .TryTake(context_.settings_.hedgeReserve_, aNow)) {
+         .TryTake(ReserveOf(aIsNeeded) + context_.settings_.hedgeReserve_,
+                  aNow)) {
     return;
   }
   if (TrySend(aAttempts, aIndex, aNow)) {
@@ -152,7 +166,10 @@
   }
 }
 
-bool Run::TryAgain(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow)
+bool Run::TryAgain(Attempts& aAttempts,
+                   uint32_t aIndex,
+                   bool aIsNeeded,
+                   TimePoint aNow)
 {
   const bool isAllowed =
     aAttempts.mayHaveRun_ == 0 ||
@@ -166,7 +183,8 @@
                       aAttempts.lastFault_ == ExchangeFault::ConnectTimeout ||
                       aAttempts.lastFault_ == ExchangeFault::NoRoom ||
                       aAttempts.lastFault_ == ExchangeFault::Retired;
-  if (!isFree && !context_.budgetOf_(aAttempts.service_).TryTake(0, aNow)) {
+  if (!isFree && !context_.budgetOf_(aAttempts.service_)
+                    .TryTake(ReserveOf(aIsNeeded), aNow)) {
     return false;
   }
   if (!TrySend(aAttempts, aIndex, aNow)) {
@@ -267,10 +285,10 @@
     return;
   }
   isDone_ = true;
+  LogEnd(aAnswer, aNow);
   for (Attempts& attempts : AllAttempts()) {
     AbandonOpen(attempts, aNow);
   }
-  LogEnd(aAnswer, aNow);
   // The caller's connection may let go of this run.
   const auto keep = shared_from_this();
   done_(std::move(aAnswer));
@@ -295,15 +313,28 @@
     .Add("took_ms", ToMilliseconds(took))
     .Add("hedges", hedges_)
     .Add("retries", retries_);
-  if (isOwn) {
-    std::string faults;
-    for (const Attempts& attempts : AllAttempts()) {
-      if (attempts.lastFault_ != ExchangeFault::None) {
-        faults += (faults.empty() ? "" : ",") + attempts.service_.Value() +
-                  ":" + std::string(NameOf(attempts.lastFault_));
-      }
+  std::string faults;
+  std::string waiting;
+  for (const Attempts& attempts : AllAttempts()) {
+    if (attempts.lastFault_ != ExchangeFault::None) {
+      faults += (faults.empty() ? "" : ",") + attempts.service_.Value() + ":" +
+                std::string(NameOf(attempts.lastFault_));
+    }
+    for (const OpenExchange& open : attempts.open_) {
+      const auto age = duration_cast<milliseconds>(
+        aNow - open.exchange_->startedAt_);
+      waiting += (waiting.empty() ? "" : ",") +
+                 open.pool_->Announcement().id_.Value() + ":" +
+                 std::to_string(age.count());
     }
+  }
+  if (!faults.empty()) {
     line.Add("faults", faults);
+  }
+  if (!waiting.empty()) {
+    line.Add("unanswered_ms", waiting);
+  }
+  if (isOwn) {
     line.Add("reason", aAnswer.body_);
   }
 }
--- a/src/forward/Run.h
+++ b/src/forward/Run.h
@@ -121,9 +121,17 @@
   /// Sends one attempt, unless no server is left.
   bool TrySend(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow);
   /// Sends a second attempt beside an open one, if attempts and budget allow.
-  void ConsiderHedge(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow);
+  ///
+  /// @param aIsNeeded without this service's reply there is no success.
+  void ConsiderHedge(Attempts& aAttempts,
+                     uint32_t aIndex,
+                     bool aIsNeeded,
+                     TimePoint aNow);
   /// Sends another attempt after one has ended, if attempts and budget allow.
-  bool TryAgain(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow);
+  bool TryAgain(Attempts& aAttempts,
+                uint32_t aIndex,
+                bool aIsNeeded,
+                TimePoint aNow);
   /// Takes an ended exchange out of the open ones and counts it.
   ///
   /// @return whether it was one of them.
@@ -156,6 +164,8 @@
 
 private:
   void LogEnd(const ForwardAnswer& aAnswer, TimePoint aNow);
+  /// @return the part of the budget that such an attempt leaves alone.
+  double ReserveOf(bool aIsNeeded) const;
 
   Done done_;
   bool isDone_ = false;
--- a/src/forward/ServerPools.cpp
+++ b/src/forward/ServerPools.cpp
@@ -88,6 +88,7 @@
 std::optional<PoolChoice> ServerPools::Choose(const ServiceName& aService,
                                               const PoolList& aTried,
                                               Duration aWork,
+                                              double aBudgetUsed,
                                               TimePoint aNow)
 {
   const auto found = byService_.find(aService);
@@ -103,7 +104,8 @@
       pools.push_back(&pool);
     }
   }
-  const auto choice = ChooseByLatency(settings_.rank_, states, aWork, random_);
+  const auto choice = ChooseByLatency(
+    settings_.rank_, states, aWork, aBudgetUsed, random_);
   if (!choice) {
     return std::nullopt;
   }
--- a/src/forward/ServerPools.h
+++ b/src/forward/ServerPools.h
@@ -44,9 +44,11 @@
   ///
   /// @param aTried pools that are not chosen again.
   /// @param aWork usual time of the work at a free server.
+  /// @param aBudgetUsed used part of the budget of second attempts, 0 to 1.
   std::optional<PoolChoice> Choose(const ServiceName& aService,
                                    const PoolList& aTried,
                                    Duration aWork,
+                                   double aBudgetUsed,
                                    TimePoint aNow);
 
   /// @return whether some server of the service may take work.
--- a/src/forward/SingleRun.cpp
+++ b/src/forward/SingleRun.cpp
@@ -57,7 +57,7 @@
   }
   if (aExchange.end_ == ExchangeEnd::Answered) {
     OnAnswer(aExchange, aNow);
-  } else if (attempts_.open_.empty() && !TryAgain(attempts_, 0, aNow)) {
+  } else if (attempts_.open_.empty() && !TryAgain(attempts_, 0, true, aNow)) {
     if (failure_) {
       Finish(PassOn(*std::move(failure_)), aNow);
     } else {
@@ -81,7 +81,7 @@
     return;
   }
   failure_ = std::move(aExchange.reply_);
-  if (attempts_.open_.empty() && !TryAgain(attempts_, 0, aNow)) {
+  if (attempts_.open_.empty() && !TryAgain(attempts_, 0, true, aNow)) {
     Finish(PassOn(*std::move(failure_)), aNow);
   }
 }
@@ -94,7 +94,7 @@
            aNow);
     return;
   }
-  ConsiderHedge(attempts_, 0, aNow);
+  ConsiderHedge(attempts_, 0, true, aNow);
 }
 
 TimePoint SingleRun::NextWake(TimePoint) const
--- a/src/policy/ExtraBudget.cpp
+++ b/src/policy/ExtraBudget.cpp
@@ -16,6 +16,22 @@
 }
 
 bool ExtraBudget::TryTake(double aReserve, TimePoint aNow)
+{
+  const Count count = CountWindow(aNow);
+  if (count.extras_ + 1 > count.allowed_ * (1 - aReserve)) {
+    return false;
+  }
+  ++slices_[static_cast<size_t>(current_) % slices_.size()].extras_;
+  return true;
+}
+
+double ExtraBudget::UsedShare(TimePoint aNow)
+{
+  const Count count = CountWindow(aNow);
+  return count.allowed_ < 1 ? 1 : std::min(1.0, count.extras_ / count.allowed_);
+}
+
+ExtraBudget::Count ExtraBudget::CountWindow(TimePoint aNow)
 {
   Advance(aNow);
   const size_t oldest = static_cast<size_t>(current_ + 1) % slices_.size();
@@ -26,13 +42,9 @@
     // Requests of the oldest slice may lie outside the window.
     requests += i == oldest ? 0 : slices_[i].requests_;
   }
-  const double allowed = settings_.ratio_ * kUsableRatio * requests +
-                         settings_.slack_ / std::max<uint32_t>(instances_, 1);
-  if (extras + 1 > allowed * (1 - aReserve)) {
-    return false;
-  }
-  ++slices_[static_cast<size_t>(current_) % slices_.size()].extras_;
-  return true;
+  return { static_cast<double>(extras),
+           settings_.ratio_ * kUsableRatio * requests +
+             settings_.slack_ / std::max<uint32_t>(instances_, 1) };
 }
 
 void ExtraBudget::Advance(TimePoint aNow)
--- a/src/policy/ExtraBudget.h
+++ b/src/policy/ExtraBudget.h
@@ -40,6 +40,9 @@
   /// counted.
   bool TryTake(double aReserve, TimePoint aNow);
 
+  /// @return the used part of the budget, 0 to 1.
+  double UsedShare(TimePoint aNow);
+
 private:
   /// Slices of a window. The oldest one counts in full until it is dropped, so
   /// that any window of the given length is kept.
@@ -54,7 +57,14 @@
     uint32_t extras_ = 0;
   };
 
+  struct Count
+  {
+    double extras_ = 0;
+    double allowed_ = 0;
+  };
+
   void Advance(TimePoint aNow);
+  Count CountWindow(TimePoint aNow);
 
   ExtraBudgetSettings settings_;
   uint32_t instances_ = 1;
--- a/src/policy/ReplicaRank.cpp
+++ b/src/policy/ReplicaRank.cpp
@@ -16,7 +16,8 @@
 
 Duration PredictLatency(const ReplicaRankSettings& aSettings,
                         const ReplicaState& aReplica,
-                        Duration aWork)
+                        Duration aWork,
+                        double aBudgetUsed)
 {
   const double warmup = aReplica.isWarmingUp_ ? aSettings.warmupFactor_ : 1;
   const Duration work = Scaled(aWork, aReplica.slowness_ * warmup);
@@ -33,7 +34,10 @@
       Scaled(expected, aSettings.stallFactor_) + aSettings.stallSlack_) {
     predicted += aSettings.stallCost_;
   }
-  predicted += Scaled(aSettings.failureCost_, aReplica.failureShare_);
+  const Duration failureCost =
+    aSettings.failureCost_ +
+    Scaled(aSettings.lastFailureCost_ - aSettings.failureCost_, aBudgetUsed);
+  predicted += Scaled(failureCost, aReplica.failureShare_);
   if (aReplica.isOtherRegion_) {
     predicted += aSettings.otherRegionCost_;
   }
@@ -44,6 +48,7 @@
   const ReplicaRankSettings& aSettings,
   std::span<const ReplicaState> aReplicas,
   Duration aWork,
+  double aBudgetUsed,
   RandomSource& aRandom)
 {
   constexpr double kJitter = 0.1;
@@ -51,7 +56,8 @@
   Duration bestRank{};
   bool isBestSuspect = false;
   for (size_t i = 0; i < aReplicas.size(); ++i) {
-    const Duration predicted = PredictLatency(aSettings, aReplicas[i], aWork);
+    const Duration predicted = 
+      PredictLatency(aSettings, aReplicas[i], aWork, aBudgetUsed);
     const Duration rank = Scaled(predicted, 1 + kJitter * aRandom.Unit());
     const bool isSuspect = aReplicas[i].isSuspect_;
     const bool isBetter = !best || (isBestSuspect && !isSuspect) ||
--- a/src/policy/ReplicaRank.h
+++ b/src/policy/ReplicaRank.h
@@ -25,8 +25,12 @@
   /// What a server that stands still is expected to add: half of the pauses of
   /// 250 to 300 ms that servers make.
   Duration stallCost_ = milliseconds(150);
-  /// What a failed attempt costs: a whole second attempt and its delay.
-  Duration failureCost_ = milliseconds(300);
+  /// What a failed attempt costs while second attempts are within their
+  /// budget: such an attempt and its delay.
+  Duration failureCost_ = milliseconds(200);
+  /// What it costs when the budget is used up: the answer itself, several
+  /// times a usual objective of 100 to 250 ms.
+  Duration lastFailureCost_ = milliseconds(300);
   /// How much slower a server is while it warms up.
   double warmupFactor_ = 1.6;
 };
@@ -54,10 +58,13 @@
 };
 
 /// @param aWork usual time of the request's work at a free server.
+/// @param aBudgetUsed used part of the service's budget of second attempts, 0
+/// to 1.
 /// @return the time after which an answer is expected.
 Duration PredictLatency(const ReplicaRankSettings& aSettings,
                         const ReplicaState& aReplica,
-                        Duration aWork);
+                        Duration aWork,
+                        double aBudgetUsed);
 
 struct ReplicaChoice
 {
@@ -74,6 +81,7 @@
   const ReplicaRankSettings& aSettings,
   std::span<const ReplicaState> aReplicas,
   Duration aWork,
+  double aBudgetUsed,
   RandomSource& aRandom);
 
 } // namespace foxtail
