Forget a server's single pause soon; notice control instances that come back

After the loss of power entry instances waited 1 s for frames to machines that had none, and told callers to come back after 50 ms.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -60,7 +60,7 @@
   if (!status.ok()) {
     return status;
   }
-  gateway_.Start();
+  gateway_.Start(Now());
   feed_.Start(Now());
   ArmTick();
   workers_.Start();
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -65,6 +65,9 @@
   milliseconds abandonGrace_{ 0 };
   /// Deadline of a request that names none.
   milliseconds defaultDeadline_{ 30000 };
+  /// From the start of a process to its first document, as measured after a
+  /// loss of power: what callers are told to wait for.
+  milliseconds startTime_{ 900 };
   /// Suggested pause after a refusal, when nothing better is known.
   milliseconds retryAfter_{ 50 };
 };
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -13,6 +13,8 @@
 /// How often connections are looked over. A finer step costs wake-ups; the
 /// times that it watches are 150 ms and more.
 constexpr milliseconds kTick{ 50 };
+/// How often the totals are logged.
+constexpr seconds kTrafficInterval{ 10 };
 /// Instances that share budgets and connections, until their number is known:
 /// above any deployment's start.
 constexpr uint32_t kAssumedInstances = 12;
@@ -95,8 +97,9 @@
 
 Gateway::~Gateway() = default;
 
-void Gateway::Start()
+void Gateway::Start(TimePoint aNow)
 {
+  startedAt_ = aNow;
   ArmTick();
 }
 
@@ -111,12 +114,27 @@
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
-      pools_.Tick(Now());
+      const TimePoint now = Now();
+      pools_.Tick(now);
+      LogTraffic(now);
       ArmTick();
     }
   });
 }
 
+void Gateway::LogTraffic(TimePoint aNow)
+{
+  if (aNow < nextTrafficAt_) {
+    return;
+  }
+  nextTrafficAt_ = aNow + kTrafficInterval;
+  LogLine line(LogLevel::Info, "traffic");
+  line.Add("begun", begun_).Add("backend_servers", pools_.Size());
+  for (const auto& row : EnumTable<ServerDistance>::kRows) {
+    line.Add("sent_" + std::string(row.name_), pools_.Sent(row.value_));
+  }
+}
+
 void Gateway::SetRoutes(std::shared_ptr<const RouteTable> aTable)
 {
   table_ = std::move(aTable);
@@ -153,9 +171,12 @@
     aDone(OwnAnswer(AnswerSource::NotRun,
                     kUnavailable,
                     "this instance does not know the routes yet; try again",
-                    settings_.retryAfter_));
+                    std::max(settings_.retryAfter_,
+                             duration_cast<milliseconds>(
+                               startedAt_ + settings_.startTime_ - aNow))));
     return nullptr;
   }
+  ++begun_;
   const Route* route = table_->Find(aRequest.host_, PathOf(aRequest.target_));
   if (route == nullptr) {
     LogLine(LogLevel::Info, "no_route")
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -28,7 +28,7 @@
   Gateway& operator=(const Gateway&) = delete;
 
   /// Begins to watch connections.
-  void Start();
+  void Start(TimePoint aNow);
   void Stop();
 
   /// Puts a document in force for later requests.
@@ -58,6 +58,7 @@
   RouteStats& StatsOf(const Route& aRoute);
   Run::Done Observed(Run::Done aDone, const Route& aRoute, TimePoint aNow);
   void ArmTick();
+  void LogTraffic(TimePoint aNow);
 
   const ForwardSettings settings_;
   const Vocabulary vocabulary_;
@@ -73,6 +74,9 @@
   std::shared_ptr<const RouteTable> table_;
   RunContext context_;
   boost::asio::steady_timer tick_;
+  TimePoint startedAt_{};
+  TimePoint nextTrafficAt_{};
+  uint64_t begun_ = 0;
   std::unordered_map<std::string, prometheus::Histogram*> seconds_;
 };
 
--- a/src/forward/ServerPool.cpp
+++ b/src/forward/ServerPool.cpp
@@ -1,17 +1,17 @@
 #include "forward/ServerPool.h"
 
+#include "core/Metrics.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace foxtail {
 namespace {
 
-/// Weight of the newest observation in the moving averages.
-constexpr double kSlownessWeight = 0.2;
+/// Weight of the newest end in the moving average of failures.
 constexpr double kFailureWeight = 0.25;
-/// What was learned fades by half in this time, so that a server that is
-/// avoided is tried again.
-constexpr milliseconds kSlownessHalfLife{ 3000 };
+/// What was learned of failures fades by half in this time, so that a server
+/// that is avoided is tried again.
 constexpr milliseconds kFailureHalfLife{ 2000 };
 /// A reported load tells little after a few times the usual work.
 constexpr milliseconds kLoadIsRecent{ 200 };
@@ -19,8 +19,6 @@
 /// with each failure.
 constexpr milliseconds kFirstSuspectPause{ 100 };
 constexpr milliseconds kLongestSuspectPause{ 2000 };
-constexpr double kLeastSlowness = 0.3;
-constexpr double kGreatestSlowness = 30;
 
 /// Round trips that are assumed before the first connect.
 Duration AssumedRoundTrip(ServerDistance aDistance)
@@ -45,6 +43,25 @@
 
 } // namespace
 
+ServerPoolMetrics::ServerPoolMetrics(Metrics& aMetrics)
+  : connects_(aMetrics.Counter("foxtail_forward_connects_total",
+                               "Connections begun to backend servers"))
+  , connectFailures_(
+      aMetrics.Counter("foxtail_forward_connect_failures_total",
+                       "Connections that could not be opened"))
+  , closedAbandoned_(
+      aMetrics.Counter("foxtail_forward_closed_abandoned_total",
+                       "Connections closed to end abandoned work"))
+  , sent_{}
+{
+  for (const auto& row : EnumTable<ServerDistance>::kRows) {
+    sent_[static_cast<size_t>(row.value_)] =
+      &aMetrics.Counter("foxtail_forward_sent_total",
+                        "Requests written to backend servers",
+                        { { "distance", std::string(row.name_) } });
+  }
+}
+
 ServerPool::ServerPool(boost::asio::io_context& aContext,
                        const LinkSettings& aSettings,
                        const Vocabulary& aVocabulary,
@@ -157,7 +174,7 @@
 {
   ReplicaState state;
   state.roundTrip_ = roundTrip_;
-  state.slowness_ = Faded(slowness_, 1, aNow - slownessAt_, kSlownessHalfLife);
+  state.slowness_ = pace_.Slowness(aNow);
   state.slots_ = std::max<uint32_t>(announcement_.slots_, 1);
   state.inFlight_ = static_cast<uint32_t>(sentTimes_.size() + waiting_.size());
   if (load_ && aNow - loadAt_ < kLoadIsRecent) {
@@ -184,7 +201,7 @@
     waiting_.pop_front();
     exchange->aheadAtSend_ = static_cast<uint32_t>(sentTimes_.size());
     sentTimes_.insert(aNow);
-    metrics_.sent_.Increment();
+    metrics_.sent_[static_cast<size_t>(distance_)]->Increment();
     link->Send(exchange, aNow);
   }
   while (waiting_.size() > connecting_ && links_.size() < maxLinks_ &&
@@ -328,15 +345,11 @@
     std::max(0.0, (aExchange.aheadAtSend_ + 1 - slots) / slots);
   const double ratio =
     Seconds(took) / (Seconds(aExchange.expectedWork_) * (1 + queued));
-  const double observed = std::clamp(ratio, kLeastSlowness, kGreatestSlowness);
-  const double known =
-    Faded(slowness_, 1, aNow - slownessAt_, kSlownessHalfLife);
-  // An abandoned exchange shows only that it takes at least this long.
-  if (aExchange.isAbandoned_ && observed < known) {
-    return;
+  if (aExchange.isAbandoned_) {
+    pace_.OnGivenUp(ratio, aExchange.sentAt_, aNow);
+  } else {
+    pace_.OnReply(ratio, aExchange.sentAt_, aNow);
   }
-  slowness_ = known + (observed - known) * kSlownessWeight;
-  slownessAt_ = aNow;
 }
 
 void ServerPool::NoteConnectFailure(TimePoint aNow)
--- a/src/forward/ServerPool.h
+++ b/src/forward/ServerPool.h
@@ -4,6 +4,7 @@
 #include "forward/ServerLink.h"
 #include "policy/ReplicaRank.h"
 #include "policy/ServerDirectory.h"
+#include "policy/ServerPace.h"
 
 #include <deque>
 #include <prometheus/counter.h>
@@ -11,14 +12,7 @@
 
 namespace foxtail {
 
-/// Counters that the pools of one instance share.
-struct ServerPoolMetrics
-{
-  prometheus::Counter& connects_;
-  prometheus::Counter& connectFailures_;
-  prometheus::Counter& sent_;
-  prometheus::Counter& closedAbandoned_;
-};
+class Metrics;
 
 /// How far a backend server is from this instance.
 enum class ServerDistance
@@ -38,6 +32,19 @@
   } };
 };
 
+/// Counters that the pools of one instance share.
+struct ServerPoolMetrics
+{
+  explicit ServerPoolMetrics(Metrics& aMetrics);
+
+  prometheus::Counter& connects_;
+  prometheus::Counter& connectFailures_;
+  prometheus::Counter& closedAbandoned_;
+  /// Requests written, by the server's distance.
+  std::array<prometheus::Counter*, EnumTable<ServerDistance>::kRows.size()>
+    sent_;
+};
+
 /// This instance's connections to one backend server and what their use shows
 /// of it: its distance, how slow it is, how often it fails, what waits there.
 /// One thread's.
@@ -124,8 +131,7 @@
   std::multiset<TimePoint> sentTimes_;
 
   Duration roundTrip_;
-  double slowness_ = 1;
-  TimePoint slownessAt_{};
+  ServerPace pace_;
   double failureShare_ = 0;
   TimePoint failureAt_{};
   TimePoint warmUntil_{};
--- a/src/forward/ServerPools.cpp
+++ b/src/forward/ServerPools.cpp
@@ -23,14 +23,7 @@
   : context_(aContext)
   , settings_(aSettings)
   , vocabulary_(aVocabulary)
-  , metrics_{ aMetrics.Counter("foxtail_forward_connects_total",
-                               "Connections begun to backend servers"),
-              aMetrics.Counter("foxtail_forward_connect_failures_total",
-                               "Connections that could not be opened"),
-              aMetrics.Counter("foxtail_forward_sent_total",
-                               "Requests written to backend servers"),
-              aMetrics.Counter("foxtail_forward_closed_abandoned_total",
-                               "Connections closed to end abandoned work") }
+  , metrics_(aMetrics)
   , random_(aSeed)
 {
 }
--- a/src/forward/ServerPools.h
+++ b/src/forward/ServerPools.h
@@ -57,6 +57,12 @@
   void Tick(TimePoint aNow);
 
   size_t Size() const { return byId_.size(); }
+  /// @return requests written so far to servers at a distance.
+  uint64_t Sent(ServerDistance aDistance) const
+  {
+    return static_cast<uint64_t>(
+      metrics_.sent_[static_cast<size_t>(aDistance)]->Value());
+  }
 
 private:
   ServerDistance DistanceTo(const ZoneName& aZone) const;
--- /dev/null
+++ b/src/policy/ServerPace.h
@@ -0,0 +1,54 @@
+#ifndef POLICY_SERVERPACE_H
+#define POLICY_SERVERPACE_H
+
+#include "core/Time.h"
+
+#include <cstdint>
+
+namespace foxtail {
+
+/// How slow a backend server is, learned from its replies. Servers pause for a
+/// moment now and then: all requests that wait out one pause count as one slow
+/// episode, which is soon forgotten. Each further episode without a usual reply
+/// between is remembered twice as long, so that a server that is really slow is
+/// tried ever less often. Not thread safe.
+class ServerPace
+{
+public:
+  /// Takes a reply.
+  ///
+  /// @param aRatio time that it took over the usual time, above 0.
+  void OnReply(double aRatio, TimePoint aSentAt, TimePoint aNow);
+
+  /// Takes a request that was given up after waiting this long.
+  void OnGivenUp(double aRatio, TimePoint aSentAt, TimePoint aNow);
+
+  /// @return expected time over the usual time; 1 when nothing is known.
+  double Slowness(TimePoint aNow) const;
+
+private:
+  /// Replies above this are slow: the slowest hundredth of usual work apart.
+  static constexpr double kSlowRatio = 2.5;
+  static constexpr double kLeastRatio = 0.3;
+  static constexpr double kGreatestRatio = 30;
+  /// Weight of a reply in the moving average.
+  static constexpr double kWeight = 0.25;
+  /// A single slow episode counts half after this; a pause of a server is over
+  /// when its replies arrive.
+  static constexpr milliseconds kFirstHalfLife{ 300 };
+  static constexpr uint32_t kMaxDoublings = 4;
+
+  void Move(double aRatio, double aWeight, TimePoint aNow);
+
+  /// Logarithm of the slowness, at at_.
+  double log_ = 0;
+  TimePoint at_{};
+  /// Slow episodes since the last usual reply.
+  uint32_t episodes_ = 0;
+  /// When the latest slow episode was noticed.
+  TimePoint episodeAt_{};
+};
+
+} // namespace foxtail
+
+#endif // POLICY_SERVERPACE_H
