Bring each document from the nearest control instance only

Cause: an entry instance asks every control instance, and each answered with the whole document: with 350 routes 80 KB thrice for each version and instance, two of them between regions. Change: a question says whether it wants the text; the nearest source brings it, another one when it is missing for 250 ms.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -18,7 +18,7 @@
              frames_,
              metrics_)
   , orders_(control_)
-  , feed_(frames_, metrics_, RandomSource::SystemSeed())
+  , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed())
 {
   control_.OnFailure(std::move(aOnFailure));
   control_.OnDocument(
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -61,6 +61,40 @@
     }));
 }
 
+int FeedClient::DistanceTo(const Source& aSource) const
+{
+  constexpr int kOtherRegion = 2;
+  if (aSource.zone_ == settings_.zone_) {
+    return 0;
+  }
+  const auto own = settings_.regions_.find(settings_.zone_);
+  const auto other = settings_.regions_.find(aSource.zone_);
+  const bool isSameRegion = own != settings_.regions_.end() &&
+                            other != settings_.regions_.end() &&
+                            own->second == other->second;
+  return isSameRegion ? 1 : kOtherRegion;
+}
+
+bool FeedClient::WantsText(const Source& aSource, TimePoint aNow) const
+{
+  const bool isLate = toldVersion_ > version_ &&
+                      aNow - missingSince_ >= settings_.textTimeout_;
+  if (isLate || version_.Value() == 0 || !aSource.hasAnswered_) {
+    return true;
+  }
+  const int distance = DistanceTo(aSource);
+  const Duration limit = settings_.wait_ + settings_.patience_;
+  return std::none_of(
+    sources_.begin(), sources_.end(), [&](const auto& aRow) {
+      const Source& other = aRow.second;
+      // Of sources as near as each other one brings it, whichever it is.
+      return &other != &aSource && other.hasAnswered_ && !other.isLost_ &&
+             aNow - other.answeredAt_ < limit &&
+             (DistanceTo(other) < distance ||
+              (DistanceTo(other) == distance && &other < &aSource));
+    });
+}
+
 void FeedClient::Ask(const std::string& aEndpoint, TimePoint aNow)
 {
   const auto [row, isNew] = sources_.try_emplace(aEndpoint);
@@ -84,8 +118,13 @@
     FeedRequest request{
       source.id_, source.cursor_, version_, settings_.wait_
     };
+    request.wantsText_ = WantsText(source, Now());
     if (!source.hasAnswered_) {
       request.wait_ = milliseconds(0);
+    } else if (toldVersion_ > version_ && !request.wantsText_) {
+      // The nearest source is about to bring the document; look again soon.
+      request.knownVersion_ = toldVersion_;
+      request.wait_ = std::min(settings_.wait_, settings_.textTimeout_);
     }
     Frame question{ FrameKind::Feed, 0, EncodeFeedRequest(request) };
     // g++ 12 destroys temporaries within an awaited expression twice.
@@ -128,6 +167,13 @@
   aSource.id_ = aReply.source_;
   aSource.cursor_ = aReply.cursor_;
   aSource.entries_ = aReply.entries_;
+  aSource.zone_ = aReply.zone_;
+  if (aReply.version_ > toldVersion_) {
+    if (toldVersion_ <= version_) {
+      missingSince_ = aNow;
+    }
+    toldVersion_ = aReply.version_;
+  }
   const uint64_t before = directory_.ChangeRevision();
   for (const FeedServer& server : aReply.servers_) {
     directory_.Apply(server.announcement_, aNow - server.age_);
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -5,12 +5,16 @@
 #include "instance/FrameTransport.h"
 
 #include <functional>
+#include <string>
 #include <map>
 
 namespace foxtail {
 
 struct FeedClientSettings
 {
+  /// Availability zone of this instance and region of each zone.
+  ZoneName zone_;
+  std::map<ZoneName, std::string> regions_;
   /// Endpoints of frames of control instances to begin with.
   std::vector<std::string> seeds_;
   /// How long a source may keep a question until there is news. Renewals of
@@ -23,6 +27,9 @@
   /// A starting instance that knows a document waits this long for sources that
   /// have not answered yet, as they may know a newer one.
   milliseconds startTimeout_{ 1000 };
+  /// Documents come from the nearest source. When it has not brought one that
+  /// another source tells of for this long, that one is asked for it.
+  milliseconds textTimeout_{ 250 };
   /// A source that no other names and that has not answered for this long is
   /// not asked any more.
   milliseconds forgetAfter_{ 30000 };
@@ -78,10 +85,15 @@
     TimePoint answeredAt_{};
     TimePoint namedAt_{};
     uint32_t entries_ = 0;
+    ZoneName zone_;
     bool hasAnswered_ = false;
     bool isLost_ = false;
   };
 
+  /// @return whether the next question to a source asks for a document's text.
+  bool WantsText(const Source& aSource, TimePoint aNow) const;
+  /// @return 0 for a source in this instance's zone, more for farther ones.
+  int DistanceTo(const Source& aSource) const;
   void Ask(const std::string& aEndpoint, TimePoint aNow);
   boost::asio::awaitable<void> Follow(std::string aEndpoint);
   void Take(Source& aSource, FeedReply aReply, TimePoint aNow);
@@ -97,6 +109,9 @@
   ServerDirectory directory_;
   DocumentVersion version_;
   TimePoint firstDocumentAt_ = TimePoint::max();
+  /// The newest version that a source told of, and since when it is missing.
+  DocumentVersion toldVersion_;
+  TimePoint missingSince_{};
   std::map<std::string, Source> sources_;
 };
 
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -44,7 +44,8 @@
                                          aRequest.source_.Value(),
                                          aRequest.cursor_,
                                          aRequest.knownVersion_.Value(),
-                                         Millis32(aRequest.wait_)));
+                                         Millis32(aRequest.wait_),
+                                         aRequest.wantsText_));
   return TakeBytes(builder);
 }
 
@@ -57,7 +58,8 @@
   return FeedRequest{ FeedSourceId((*root)->source()),
                       (*root)->cursor(),
                       DocumentVersion((*root)->known_version()),
-                      milliseconds((*root)->wait_ms()) };
+                      milliseconds((*root)->wait_ms()),
+                      (*root)->wants_text() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -93,6 +95,7 @@
   if (aReply.text_ != nullptr) {
     text = builder.CreateString(*aReply.text_);
   }
+  const auto zone = builder.CreateString(aReply.zone_.Value());
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
@@ -103,7 +106,8 @@
                                        serverList,
                                        renewalList,
                                        controls,
-                                       aReply.entries_));
+                                       aReply.entries_,
+                                       zone));
   return TakeBytes(builder);
 }
 
@@ -132,6 +136,7 @@
     reply.controls_.push_back(control->str());
   }
   reply.entries_ = (*root)->entries();
+  reply.zone_ = ZoneName(ToText((*root)->zone()));
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -22,6 +22,8 @@
   uint64_t cursor_ = 0;
   DocumentVersion knownVersion_;
   milliseconds wait_{ 0 };
+  /// Whether a newer document is wanted with its text.
+  bool wantsText_ = true;
 };
 
 /// A backend server and how long ago it was heard.
@@ -44,7 +46,7 @@
   FeedSourceId source_;
   uint64_t cursor_ = 0;
   DocumentVersion version_;
-  /// Null unless the asker knows an older version.
+  /// Null unless it is wanted and the asker knows an older version.
   std::shared_ptr<const std::string> text_;
   std::vector<FeedServer> servers_;
   std::vector<FeedRenewal> renewals_;
@@ -52,6 +54,7 @@
   std::vector<std::string> controls_;
   /// Entry instances that asked this source lately.
   uint32_t entries_ = 0;
+  ZoneName zone_;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -28,10 +28,12 @@
 
 } // namespace
 
-FeedSource::FeedSource(FrameTransport& aFrames,
+FeedSource::FeedSource(ZoneName aZone,
+                       FrameTransport& aFrames,
                        Metrics& aMetrics,
                        uint64_t aSeed)
   : id_(aSeed | 1)
+  , zone_(std::move(aZone))
   , questions_(aMetrics.Counter("foxtail_feed_questions_total",
                                 "Questions of entry instances for news"))
 {
@@ -147,7 +149,8 @@
   reply.source_ = id_;
   reply.cursor_ = directory_.Revision();
   reply.version_ = version_;
-  if (aRequest.knownVersion_ < version_) {
+  reply.zone_ = zone_;
+  if (aRequest.wantsText_ && aRequest.knownVersion_ < version_) {
     reply.text_ = text_;
   }
   for (const auto& [id, row] : directory_.Rows()) {
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -23,7 +23,10 @@
 {
 public:
   /// @param aFrames must not have been started.
-  FeedSource(FrameTransport& aFrames, Metrics& aMetrics, uint64_t aSeed);
+  FeedSource(ZoneName aZone,
+             FrameTransport& aFrames,
+             Metrics& aMetrics,
+             uint64_t aSeed);
 
   /// Takes what a backend server says of itself.
   DirectoryVerdict OnAnnouncement(const ServerAnnouncement& aAnnouncement,
@@ -52,6 +55,7 @@
   uint32_t CountEntries(TimePoint aNow);
 
   const FeedSourceId id_;
+  const ZoneName zone_;
   std::mutex mutex_;
   ServerDirectory directory_;
   DocumentVersion version_;
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -34,7 +34,8 @@
     VT_SOURCE = 4,
     VT_CURSOR = 6,
     VT_KNOWN_VERSION = 8,
-    VT_WAIT_MS = 10
+    VT_WAIT_MS = 10,
+    VT_WANTS_TEXT = 12
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -48,12 +49,16 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  bool wants_text() const {
+    return GetField<uint8_t>(VT_WANTS_TEXT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CURSOR, 8) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_TEXT, 1) &&
            verifier.EndTable();
   }
 };
@@ -74,6 +79,9 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(FeedRequest::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_wants_text(bool wants_text) {
+    fbb_.AddElement<uint8_t>(FeedRequest::VT_WANTS_TEXT, static_cast<uint8_t>(wants_text), 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -90,12 +98,14 @@
     uint64_t source = 0,
     uint64_t cursor = 0,
     uint64_t known_version = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    bool wants_text = false) {
   FeedRequestBuilder builder_(_fbb);
   builder_.add_known_version(known_version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
   builder_.add_wait_ms(wait_ms);
+  builder_.add_wants_text(wants_text);
   return builder_.Finish();
 }
 
@@ -354,7 +364,8 @@
     VT_SERVERS = 12,
     VT_RENEWALS = 14,
     VT_CONTROLS = 16,
-    VT_ENTRIES = 18
+    VT_ENTRIES = 18,
+    VT_ZONE = 20
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -380,6 +391,9 @@
   uint32_t entries() const {
     return GetField<uint32_t>(VT_ENTRIES, 0);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -397,6 +411,8 @@
            verifier.VerifyVector(controls()) &&
            verifier.VerifyVectorOfStrings(controls()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
            verifier.EndTable();
   }
 };
@@ -429,6 +445,9 @@
   void add_entries(uint32_t entries) {
     fbb_.AddElement<uint32_t>(FeedReply::VT_ENTRIES, entries, 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(FeedReply::VT_ZONE, zone);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -452,11 +471,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>> renewals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls = 0,
-    uint32_t entries = 0) {
+    uint32_t entries = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0) {
   FeedReplyBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_zone(zone);
   builder_.add_entries(entries);
   builder_.add_controls(controls);
   builder_.add_renewals(renewals);
@@ -474,11 +495,13 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedServer>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>> *renewals = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *controls = nullptr,
-    uint32_t entries = 0) {
+    uint32_t entries = 0,
+    const char *zone = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
   auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return foxtail::wire::CreateFeedReply(
       _fbb,
       source,
@@ -488,7 +511,8 @@
       servers__,
       renewals__,
       controls__,
-      entries);
+      entries,
+      zone__);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
