Elect a leader sooner after a start

Cause: after all power was lost, 0.5 to 1 s of the outage was the wait for an election, while callers were refused for want of routes. Change: on the platform elections begin after 300 to 600 ms of silence, half of that after a start, which a pre-vote makes harmless.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -44,6 +44,9 @@
     output_.installed_ = log_.LatestSnapshot();
   }
   DrawElectionDeadline(aNow);
+  // A leader that is there is heard within a heartbeat, and a pre-vote disturbs
+  // nobody: after a start there is less to wait for.
+  electionDeadline_ = aNow + (electionDeadline_ - aNow) / 2;
 }
 
 bool ConsensusNode::IsMembershipCommitted() const
