Leave more time for an answer's way when the process waits for its processor

Cause: on the grown deployments answers in part left 3 ms before the objective and came up to 5 ms late: with 0.12 of a core the process waits for its processor before it decides, and again before it writes. Change: the margin grows by four times the lag of the process's own timers.

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -60,6 +60,9 @@
   /// The answer leaves this much before it must, beside its way to the caller:
   /// timers fire a little late, and merging and writing take time.
   milliseconds answerMargin_{ 3 };
+  /// More margin when this process waits for its processor: its own work before
+  /// and after the decision waits as its timers do. A bound on it.
+  milliseconds maxLagMargin_{ 25 };
   /// How long an abandoned exchange may go on before its connection is closed,
   /// which makes the backend server drop the work but costs a new connection.
   milliseconds abandonGrace_{ 0 };
--- a/src/forward/Run.h
+++ b/src/forward/Run.h
@@ -149,7 +149,9 @@
   TimePoint ObjectiveAt() const
   {
     return request_->begunAt_ + route_.objective_ - request_->wayBack_ -
-           context_.settings_.answerMargin_;
+           context_.settings_.answerMargin_ -
+           std::min<Duration>(4 * context_.timers_.Lag(),
+                              context_.settings_.maxLagMargin_);
   }
 
   RunContext& context_;
--- a/src/forward/TimerQueue.cpp
+++ b/src/forward/TimerQueue.cpp
@@ -1,5 +1,7 @@
 #include "forward/TimerQueue.h"
 
+#include <algorithm>
+
 namespace foxtail {
 
 TimerQueue::TimerQueue(boost::asio::io_context& aContext)
@@ -37,6 +39,9 @@
 void TimerQueue::Fire()
 {
   const TimePoint now = Now();
+  // Fades to half after some fifty calls.
+  constexpr auto kFade = 70;
+  lag_ = std::max(now - armedFor_ - Duration(kGather), lag_ - lag_ / kFade);
   armedFor_ = TimePoint::max();
   // Taken out first: what a task adds is for later, even if it is due already.
   std::vector<std::weak_ptr<TimedTask>> due;
--- a/src/forward/TimerQueue.h
+++ b/src/forward/TimerQueue.h
@@ -29,6 +29,10 @@
   /// Calls @p aTask at @p aTime or a little later, never from within.
   void Add(TimePoint aTime, std::weak_ptr<TimedTask> aTask);
 
+  /// @return how late tasks were called lately, at worst: what this process
+  /// waits for its processor. Fades with each call.
+  Duration Lag() const { return lag_; }
+
   /// Stops calling.
   void Stop();
 
@@ -50,6 +54,7 @@
   boost::asio::steady_timer timer_;
   std::priority_queue<Entry> entries_;
   TimePoint armedFor_ = TimePoint::max();
+  Duration lag_{};
   bool isFiring_ = false;
   bool isStopped_ = false;
 };
