Have one source at a time bring a document when the nearest lags

Change: the nearest live source that has the version brings it, one after the other, each given 0.5 s.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -5,6 +5,12 @@
 #include "core/RandomSource.h"
 
 namespace foxtail {
+namespace {
+
+/// How often the totals are logged.
+constexpr seconds kTrafficInterval{ 10 };
+
+} // namespace
 
 EdgeControl::EdgeControl(EdgeControlSettings aSettings,
                          DataFolder aFolder,
@@ -19,6 +25,7 @@
              metrics_)
   , orders_(control_)
   , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed())
+  , traffic_(workers_.Context(0))
 {
   control_.OnFailure(std::move(aOnFailure));
   control_.OnDocument(
@@ -48,6 +55,7 @@
   if (!status.ok()) {
     return status;
   }
+  ArmTraffic();
   workers_.Start();
   LogLine(LogLevel::Info, "started")
     .Add("instance", settings_.instance_)
@@ -57,6 +65,23 @@
   return absl::OkStatus();
 }
 
+void EdgeControl::ArmTraffic()
+{
+  traffic_.expires_after(kTrafficInterval);
+  traffic_.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    LogLine(LogLevel::Info, "traffic")
+      .Add("entries", feed_.Entries(Now()))
+      .Add("consensus_bytes", frames_.BytesSent(FrameKind::Consensus))
+      .Add("feed_bytes", frames_.BytesSent(FrameKind::FeedReply))
+      .Add("frames_dropped", frames_.FramesDropped())
+      .Add("connections", frames_.OpenConnections());
+    ArmTraffic();
+  });
+}
+
 void EdgeControl::Stop()
 {
   control_.Stop();
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -48,6 +48,9 @@
   bool IsLeader() const { return control_.IsLeader(); }
 
 private:
+  /// Logs what was sent to other instances, by kind.
+  void ArmTraffic();
+
   const EdgeControlSettings settings_;
   Metrics metrics_;
   WorkerPool workers_;
@@ -55,6 +58,7 @@
   ReplicatedControl control_;
   OrderService orders_;
   FeedSource feed_;
+  boost::asio::steady_timer traffic_;
 };
 
 } // namespace foxtail
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -75,23 +75,51 @@
   return isSameRegion ? 1 : kOtherRegion;
 }
 
-bool FeedClient::WantsText(const Source& aSource, TimePoint aNow) const
+bool FeedClient::IsLive(const Source& aSource, TimePoint aNow) const
 {
+  return aSource.hasAnswered_ && !aSource.isLost_ &&
+         aNow - aSource.answeredAt_ < settings_.farWait_ + settings_.patience_;
+}
+
+const FeedClient::Source* FeedClient::FindNearest(DocumentVersion aVersion,
+                                                  TimePoint aNow) const
+{
+  const Source* nearest = nullptr;
+  for (const auto& [endpoint, source] : sources_) {
+    const bool isCandidate = IsLive(source, aNow) &&
+                             source.version_ >= aVersion &&
+                             &source != failedSource_;
+    if (isCandidate &&
+        (nearest == nullptr || DistanceTo(source) < DistanceTo(*nearest))) {
+      nearest = &source;
+    }
+  }
+  return nearest;
+}
+
+void FeedClient::ChooseTextSource(TimePoint aNow)
+{
+  const bool isMissing = toldVersion_ > version_;
   const bool isLate =
-    toldVersion_ > version_ && aNow - missingSince_ >= settings_.textTimeout_;
-  if (isLate || version_.Value() == 0 || !aSource.hasAnswered_) {
+    isMissing && aNow - missingSince_ >= settings_.textTimeout_;
+  if (isLate) {
+    // Only one is asked at a time: a document may be large, and they are many.
+    failedSource_ = textSource_;
+    missingSince_ = aNow;
+    textSource_ = FindNearest(toldVersion_, aNow);
+  } else if (!isMissing) {
+    failedSource_ = nullptr;
+    textSource_ = FindNearest(version_, aNow);
+  }
+}
+
+bool FeedClient::WantsText(const Source& aSource, TimePoint aNow)
+{
+  if (version_.Value() == 0 || !aSource.hasAnswered_) {
     return true;
   }
-  const int distance = DistanceTo(aSource);
-  const Duration limit = settings_.farWait_ + settings_.patience_;
-  return std::none_of(sources_.begin(), sources_.end(), [&](const auto& aRow) {
-    const Source& other = aRow.second;
-    // Of sources as near as each other one brings it, whichever it is.
-    return &other != &aSource && other.hasAnswered_ && !other.isLost_ &&
-           aNow - other.answeredAt_ < limit &&
-           (DistanceTo(other) < distance ||
-            (DistanceTo(other) == distance && &other < &aSource));
-  });
+  ChooseTextSource(aNow);
+  return textSource_ == nullptr || textSource_ == &aSource;
 }
 
 void FeedClient::Ask(const std::string& aEndpoint, TimePoint aNow)
@@ -147,6 +175,8 @@
     NoteLoss(aEndpoint, source, status, now);
     const TimePoint last = std::max(source.answeredAt_, source.namedAt_);
     if (now - last > settings_.forgetAfter_) {
+      textSource_ = nullptr;
+      failedSource_ = nullptr;
       sources_.erase(aEndpoint);
       co_return;
     }
@@ -175,6 +205,7 @@
   }
   aSource.entries_ = aReply.entries_;
   aSource.zone_ = aReply.zone_;
+  aSource.version_ = aReply.version_;
   if (aReply.version_ > toldVersion_) {
     if (toldVersion_ <= version_) {
       missingSince_ = aNow;
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -34,7 +34,7 @@
   /// Documents come from the nearest source. When it has not brought one that
   /// another source tells of for this long, that one is asked for it: far below
   /// the seconds within which a document must be in force.
-  milliseconds textTimeout_{ 700 };
+  milliseconds textTimeout_{ 500 };
   /// A source that no other names and that has not answered for this long is
   /// not asked any more.
   milliseconds forgetAfter_{ 30000 };
@@ -93,12 +93,20 @@
     TimePoint renewalsAt_{};
     uint32_t entries_ = 0;
     ZoneName zone_;
+    /// The document that it has applied.
+    DocumentVersion version_;
     bool hasAnswered_ = false;
     bool isLost_ = false;
   };
 
   /// @return whether the next question to a source asks for a document's text.
-  bool WantsText(const Source& aSource, TimePoint aNow) const;
+  bool WantsText(const Source& aSource, TimePoint aNow);
+  bool IsLive(const Source& aSource, TimePoint aNow) const;
+  /// @return the nearest live source that has a version, or null.
+  const Source* FindNearest(DocumentVersion aVersion, TimePoint aNow) const;
+  /// Chooses who brings documents: the nearest, or another one when it has not
+  /// brought what others tell of.
+  void ChooseTextSource(TimePoint aNow);
   /// @return 0 for a source in this instance's zone, more for farther ones.
   int DistanceTo(const Source& aSource) const;
   void Ask(const std::string& aEndpoint, TimePoint aNow);
@@ -119,6 +127,9 @@
   /// The newest version that a source told of, and since when it is missing.
   DocumentVersion toldVersion_;
   TimePoint missingSince_{};
+  /// Members of sources_, or null.
+  const Source* textSource_ = nullptr;
+  const Source* failedSource_ = nullptr;
   std::map<std::string, Source> sources_;
 };
 
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -18,6 +18,10 @@
 /// It may be cut off and still use its part of what is shared, so this lies
 /// above the window of the retry budget.
 constexpr seconds kEntryMemory{ 12 };
+/// News of servers waits this long for more, so that one answer tells many:
+/// when an index is cut anew, hundreds change within a second. Far below the
+/// seconds within which a draining server must be left alone.
+constexpr milliseconds kGather{ 100 };
 /// Servers that were heard within this are told as renewed: longer than the
 /// pause between two questions for renewals.
 constexpr seconds kRenewalMemory{ 45 };
@@ -133,11 +137,16 @@
       waiting_.insert(timer);
     }
   }
+  boost::system::error_code ignored;
   if (timer != nullptr) {
-    boost::system::error_code ignored;
     co_await timer->async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
+  if (IsNewsOfServersOnly(*request)) {
+    Timer gather(executor, kGather);
+    co_await gather.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
   const std::lock_guard lock(mutex_);
   waiting_.erase(timer);
   reply.payload_ = EncodeFeedReply(MakeReply(*request, Now()));
@@ -151,6 +160,13 @@
          directory_.ChangeRevision() > aRequest.cursor_;
 }
 
+bool FeedSource::IsNewsOfServersOnly(const FeedRequest& aRequest)
+{
+  const std::lock_guard lock(mutex_);
+  return aRequest.source_ == id_ && aRequest.knownVersion_ >= version_ &&
+         directory_.ChangeRevision() > aRequest.cursor_;
+}
+
 FeedReply FeedSource::MakeReply(const FeedRequest& aRequest, TimePoint aNow)
 {
   const uint64_t cursor = aRequest.source_ == id_ ? aRequest.cursor_ : 0;
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -50,6 +50,8 @@
 
   boost::asio::awaitable<Frame> Answer(InstanceId aFrom, Frame aFrame);
   bool HasNews(const FeedRequest& aRequest) const;
+  /// @return whether all that is new to the asker is of backend servers.
+  bool IsNewsOfServersOnly(const FeedRequest& aRequest);
   FeedReply MakeReply(const FeedRequest& aRequest, TimePoint aNow);
   void WakeAll();
   uint32_t CountEntries(TimePoint aNow);
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -259,6 +259,36 @@
   }
 }
 
+TEST_CASE("feed: when the nearest lags, one of the others brings a document")
+{
+  Source near("control-1", "zone-a");
+  Source far("control-2", "zone-b");
+  Source farther("control-3", "zone-b");
+  Client client({ near.Endpoint(), far.Endpoint(), farther.Endpoint() });
+  for (Source* source : { &near, &far, &farther }) {
+    source->feed_.OnDocument(DocumentVersion(1), TextOf("first"));
+  }
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 1; }));
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 3; }));
+  for (Source* source : { &near, &far, &farther }) {
+    source->feed_.OnAnnouncement(Announce("i-1", 1), Now());
+    source->feed_.OnAnnouncement(Announce("i-2", 1), Now());
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  const auto sent = [&] {
+    return far.frames_.BytesSent(FrameKind::FeedReply) +
+           farther.frames_.BytesSent(FrameKind::FeedReply);
+  };
+  const uint64_t before = sent();
+  const std::string large(200000, 'x');
+  for (Source* source : { &far, &farther }) {
+    source->feed_.OnDocument(DocumentVersion(2), TextOf(large));
+  }
+  CHECK(client.WaitFor([&] { return client.texts_.size() == 2; }));
+  std::this_thread::sleep_for(milliseconds(700));
+  CHECK(sent() - before < 2 * large.size());
+}
+
 TEST_CASE("feed: one source is enough while others are lost")
 {
   Source alive("control-1", "zone-a");
