--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -34,6 +34,7 @@
            bool) { feed_.OnDocument(aVersion, std::move(aText)); });
   control_.OnMembership([this](const Membership& aMembership) {
     std::vector<std::string> endpoints;
+    endpoints.reserve(aMembership.members_.size());
     for (const GroupMember& member : aMembership.members_) {
       endpoints.push_back(member.endpoint_);
     }
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -168,7 +168,7 @@
       auto news = DecodeFeedReply(reply->payload_);
       status = news.status();
       if (news.ok()) {
-        Take(source, *std::move(news), now);
+        Take(source, *news, now);
         continue;
       }
     }
@@ -187,7 +187,7 @@
   }
 }
 
-void FeedClient::Take(Source& aSource, FeedReply aReply, TimePoint aNow)
+void FeedClient::Take(Source& aSource, const FeedReply& aReply, TimePoint aNow)
 {
   if (aSource.isLost_ && aSource.hasAnswered_) {
     LogLine(LogLevel::Info, "control_regained")
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -111,7 +111,7 @@
   int DistanceTo(const Source& aSource) const;
   void Ask(const std::string& aEndpoint, TimePoint aNow);
   boost::asio::awaitable<void> Follow(std::string aEndpoint);
-  void Take(Source& aSource, FeedReply aReply, TimePoint aNow);
+  void Take(Source& aSource, const FeedReply& aReply, TimePoint aNow);
   void NoteLoss(const std::string& aEndpoint,
                 Source& aSource,
                 const absl::Status& aStatus,
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -28,7 +28,7 @@
   announcement.zone_ = ZoneName(aRow.zone()->str());
   announcement.slots_ = aRow.slots();
   announcement.phase_ = PhaseOf(aRow.phase());
-  announcement.warmupLeft_ = milliseconds(aRow.warmup_left_ms());
+  announcement.warmupLeft_ = milliseconds(aRow.slow_for_ms());
   announcement.startedAtMs_ = aRow.started_at_ms();
   announcement.sequence_ = aRow.sequence();
   server.age_ = milliseconds(aRow.age_ms());
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -138,7 +138,7 @@
     VT_ZONE = 10,
     VT_SLOTS = 12,
     VT_PHASE = 14,
-    VT_WARMUP_LEFT_MS = 16,
+    VT_SLOW_FOR_MS = 16,
     VT_STARTED_AT_MS = 18,
     VT_SEQUENCE = 20,
     VT_AGE_MS = 22
@@ -161,8 +161,8 @@
   uint8_t phase() const {
     return GetField<uint8_t>(VT_PHASE, 0);
   }
-  uint32_t warmup_left_ms() const {
-    return GetField<uint32_t>(VT_WARMUP_LEFT_MS, 0);
+  uint32_t slow_for_ms() const {
+    return GetField<uint32_t>(VT_SLOW_FOR_MS, 0);
   }
   uint64_t started_at_ms() const {
     return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
@@ -185,7 +185,7 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
-           VerifyField<uint32_t>(verifier, VT_WARMUP_LEFT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOW_FOR_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -215,8 +215,8 @@
   void add_phase(uint8_t phase) {
     fbb_.AddElement<uint8_t>(FeedServer::VT_PHASE, phase, 0);
   }
-  void add_warmup_left_ms(uint32_t warmup_left_ms) {
-    fbb_.AddElement<uint32_t>(FeedServer::VT_WARMUP_LEFT_MS, warmup_left_ms, 0);
+  void add_slow_for_ms(uint32_t slow_for_ms) {
+    fbb_.AddElement<uint32_t>(FeedServer::VT_SLOW_FOR_MS, slow_for_ms, 0);
   }
   void add_started_at_ms(uint64_t started_at_ms) {
     fbb_.AddElement<uint64_t>(FeedServer::VT_STARTED_AT_MS, started_at_ms, 0);
@@ -250,7 +250,7 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint32_t slots = 0,
     uint8_t phase = 0,
-    uint32_t warmup_left_ms = 0,
+    uint32_t slow_for_ms = 0,
     uint64_t started_at_ms = 0,
     uint64_t sequence = 0,
     uint32_t age_ms = 0) {
@@ -258,7 +258,7 @@
   builder_.add_sequence(sequence);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_age_ms(age_ms);
-  builder_.add_warmup_left_ms(warmup_left_ms);
+  builder_.add_slow_for_ms(slow_for_ms);
   builder_.add_slots(slots);
   builder_.add_zone(zone);
   builder_.add_address(address);
@@ -276,7 +276,7 @@
     const char *zone = nullptr,
     uint32_t slots = 0,
     uint8_t phase = 0,
-    uint32_t warmup_left_ms = 0,
+    uint32_t slow_for_ms = 0,
     uint64_t started_at_ms = 0,
     uint64_t sequence = 0,
     uint32_t age_ms = 0) {
@@ -292,7 +292,7 @@
       zone__,
       slots,
       phase,
-      warmup_left_ms,
+      slow_for_ms,
       started_at_ms,
       sequence,
       age_ms);
--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -186,8 +186,7 @@
   const int failed = ::getsockopt(
     socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
   // Without a measurement the margin alone has to do.
-  return failed != 0 ? Duration::zero()
-                     : Duration(microseconds(info.tcpi_rtt));
+  return failed != 0 ? Duration::zero() : Duration(microseconds(info.tcpi_rtt));
 }
 
 void CallerConnection::OnRequest(TimePoint aNow)
@@ -197,9 +196,9 @@
   port_.requestsTotal_.Increment();
   auto run = port_.gateway_.Begin(
     TakeRequest(aNow),
-    [weak = weak_from_this()](ForwardAnswer aAnswer) {
+    [weak = weak_from_this()](const ForwardAnswer& aAnswer) {
       if (const auto self = weak.lock()) {
-        self->Answer(std::move(aAnswer));
+        self->Answer(aAnswer);
       }
     },
     aNow);
@@ -208,7 +207,7 @@
   }
 }
 
-void CallerConnection::Answer(ForwardAnswer aAnswer)
+void CallerConnection::Answer(const ForwardAnswer& aAnswer)
 {
   if (phase_ != Phase::Running) {
     return;
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -50,7 +50,7 @@
   void OnParseError(const Error& aError);
   void OnRequest(TimePoint aNow);
   ForwardRequest TakeRequest(TimePoint aNow);
-  void Answer(ForwardAnswer aAnswer);
+  void Answer(const ForwardAnswer& aAnswer);
   void Refuse(unsigned aStatus, std::string_view aReason);
   void Write();
   void OnWritten(const Error& aError);
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -42,6 +42,7 @@
   std::shared_ptr<Run> operator()(const SplitTarget& aTarget)
   {
     std::vector<double> weights;
+    weights.reserve(aTarget.parts_.size());
     for (const SplitTarget::Part& part : aTarget.parts_) {
       weights.push_back(part.weight_);
     }
@@ -79,7 +80,6 @@
                  uint64_t aSeed)
   : settings_(std::move(aSettings))
   , vocabulary_(std::move(aVocabulary))
-  , ioContext_(aContext)
   , metrics_(aMetrics)
   , timers_(aContext)
   , pools_(aContext, settings_, vocabulary_, aMetrics, aSeed)
@@ -191,14 +191,14 @@
   }
   auto request = std::make_shared<const ForwardRequest>(std::move(aRequest));
   TargetVisitor visitor{
-    *this, *route, request, Observed(std::move(aDone), *route, aNow)
+    *this, *route, request, Observed(std::move(aDone), aNow)
   };
   auto run = std::visit(visitor, route->target_);
   run->Start(aNow);
   return run->IsDone() ? nullptr : run;
 }
 
-Run::Done Gateway::Observed(Run::Done aDone, const Route&, TimePoint aNow)
+Run::Done Gateway::Observed(Run::Done aDone, TimePoint aNow)
 {
   return [this, done = std::move(aDone), aNow](ForwardAnswer aAnswer) {
     const std::string source(NameOf(aAnswer.source_));
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -56,13 +56,13 @@
 
   ExtraBudget& BudgetOf(const ServiceName& aService);
   RouteStats& StatsOf(const Route& aRoute);
-  Run::Done Observed(Run::Done aDone, const Route& aRoute, TimePoint aNow);
+  /// @return @p aDone that first notes how long the request took.
+  Run::Done Observed(Run::Done aDone, TimePoint aNow);
   void ArmTick();
   void LogTraffic(TimePoint aNow);
 
   const ForwardSettings settings_;
   const Vocabulary vocabulary_;
-  boost::asio::io_context& ioContext_;
   Metrics& metrics_;
   TimerQueue timers_;
   ServerPools pools_;
--- a/src/forward/GatherRun.cpp
+++ b/src/forward/GatherRun.cpp
@@ -31,9 +31,9 @@
 
 void GatherRun::Start(TimePoint aNow)
 {
-  const auto known = static_cast<uint32_t>(
-    std::count_if(attempts_.begin(), attempts_.end(), [&](const Attempts& a) {
-      return context_.pools_.HasServer(a.service_);
+  const auto known = static_cast<uint32_t>(std::count_if(
+    attempts_.begin(), attempts_.end(), [&](const Attempts& aRow) {
+      return context_.pools_.HasServer(aRow.service_);
     }));
   const auto shards = static_cast<uint32_t>(attempts_.size());
   if (known < LeastShards(shards, target_.leastShare_)) {
--- a/src/forward/RecordMerge.cpp
+++ b/src/forward/RecordMerge.cpp
@@ -1,6 +1,8 @@
 #include "forward/RecordMerge.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 
 namespace foxtail {
 
@@ -16,7 +18,7 @@
   const size_t count = std::min(aTop, records.size());
   // string_view compares bytes as unsigned characters.
   std::partial_sort(records.begin(),
-                    records.begin() + static_cast<ptrdiff_t>(count),
+                    records.begin() + static_cast<std::ptrdiff_t>(count),
                     records.end(),
                     std::greater<>());
   std::string merged;
--- a/src/forward/RouteDocument.cpp
+++ b/src/forward/RouteDocument.cpp
@@ -87,6 +87,7 @@
   std::vector<ServiceName> operator()(const SplitTarget& aTarget) const
   {
     std::vector<ServiceName> services;
+    services.reserve(aTarget.parts_.size());
     for (const SplitTarget::Part& part : aTarget.parts_) {
       services.push_back(part.service_);
     }
--- a/src/forward/Run.cpp
+++ b/src/forward/Run.cpp
@@ -96,11 +96,8 @@
 {
   const Duration work = stats_.Work();
   ExtraBudget& budget = context_.budgetOf_(aAttempts.service_);
-  auto choice = context_.pools_.Choose(aAttempts.service_,
-                                       aAttempts.tried_,
-                                       work,
-                                       budget.UsedShare(aNow),
-                                       aNow);
+  auto choice = context_.pools_.Choose(
+    aAttempts.service_, aAttempts.tried_, work, budget.UsedShare(aNow), aNow);
   if (!choice) {
     return false;
   }
@@ -321,8 +318,8 @@
                 std::string(NameOf(attempts.lastFault_));
     }
     for (const OpenExchange& open : attempts.open_) {
-      const auto age = duration_cast<milliseconds>(
-        aNow - open.exchange_->startedAt_);
+      const auto age =
+        duration_cast<milliseconds>(aNow - open.exchange_->startedAt_);
       waiting += (waiting.empty() ? "" : ",") +
                  open.pool_->Announcement().id_.Value() + ":" +
                  std::to_string(age.count());
--- a/src/forward/ServerPool.cpp
+++ b/src/forward/ServerPool.cpp
@@ -46,9 +46,8 @@
 ServerPoolMetrics::ServerPoolMetrics(Metrics& aMetrics)
   : connects_(aMetrics.Counter("foxtail_forward_connects_total",
                                "Connections begun to backend servers"))
-  , connectFailures_(
-      aMetrics.Counter("foxtail_forward_connect_failures_total",
-                       "Connections that could not be opened"))
+  , connectFailures_(aMetrics.Counter("foxtail_forward_connect_failures_total",
+                                      "Connections that could not be opened"))
   , closedAbandoned_(
       aMetrics.Counter("foxtail_forward_closed_abandoned_total",
                        "Connections closed to end abandoned work"))
@@ -66,7 +65,7 @@
                        const LinkSettings& aSettings,
                        const Vocabulary& aVocabulary,
                        ServerPoolMetrics& aMetrics,
-                       ServerAnnouncement aAnnouncement,
+                       const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ServerDistance aDistance,
                        TimePoint aNow)
@@ -101,9 +100,8 @@
     aExchange->end_ = ExchangeEnd::NotSent;
     aExchange->fault_ =
       isRetired_ ? ExchangeFault::Retired : ExchangeFault::NoRoom;
-    boost::asio::post(context_, [exchange = std::move(aExchange)]() mutable {
-      Tell(std::move(exchange), Now());
-    });
+    boost::asio::post(
+      context_, [exchange = std::move(aExchange)] { Tell(exchange, Now()); });
     return;
   }
   waiting_.push_back(std::move(aExchange));
@@ -239,9 +237,8 @@
   exchange->end_ = ExchangeEnd::NotSent;
   exchange->fault_ = aFault;
   // From the queue, as callers may be in the middle of a pool's methods.
-  boost::asio::post(context_, [exchange = std::move(exchange), aNow]() mutable {
-    Tell(std::move(exchange), aNow);
-  });
+  boost::asio::post(
+    context_, [exchange = std::move(exchange), aNow] { Tell(exchange, aNow); });
 }
 
 void ServerPool::OnLinkOpen(ServerLink& aLink, TimePoint aNow)
@@ -287,7 +284,7 @@
   }
   Pump(aNow);
   if (!aExchange->isAbandoned_) {
-    Tell(std::move(aExchange), aNow);
+    Tell(aExchange, aNow);
   }
 }
 
@@ -361,7 +358,8 @@
   suspectUntil_ = aNow + suspectPause_;
 }
 
-void ServerPool::Tell(std::shared_ptr<Exchange> aExchange, TimePoint aNow)
+void ServerPool::Tell(const std::shared_ptr<Exchange>& aExchange,
+                      TimePoint aNow)
 {
   if (const auto listener = aExchange->listener_.lock()) {
     listener->OnExchangeEnd(*aExchange, aNow);
--- a/src/forward/ServerPool.h
+++ b/src/forward/ServerPool.h
@@ -57,7 +57,7 @@
              const LinkSettings& aSettings,
              const Vocabulary& aVocabulary,
              ServerPoolMetrics& aMetrics,
-             ServerAnnouncement aAnnouncement,
+             const ServerAnnouncement& aAnnouncement,
              boost::asio::ip::tcp::endpoint aEndpoint,
              ServerDistance aDistance,
              TimePoint aNow);
@@ -110,7 +110,7 @@
   void NoteEnd(const Exchange& aExchange, TimePoint aNow);
   void NoteLatency(const Exchange& aExchange, TimePoint aNow);
   void NoteConnectFailure(TimePoint aNow);
-  static void Tell(std::shared_ptr<Exchange> aExchange, TimePoint aNow);
+  static void Tell(const std::shared_ptr<Exchange>& aExchange, TimePoint aNow);
 
   boost::asio::io_context& context_;
   const LinkSettings& settings_;
--- a/src/forward/ServerPools.cpp
+++ b/src/forward/ServerPools.cpp
@@ -97,8 +97,8 @@
       pools.push_back(&pool);
     }
   }
-  const auto choice = ChooseByLatency(
-    settings_.rank_, states, aWork, aBudgetUsed, random_);
+  const auto choice =
+    ChooseByLatency(settings_.rank_, states, aWork, aBudgetUsed, random_);
   if (!choice) {
     return std::nullopt;
   }
--- a/tests/forward/ScriptedServer.h
+++ b/tests/forward/ScriptedServer.h
@@ -78,8 +78,7 @@
   boost::asio::awaitable<void> Serve(Socket aSocket)
   {
     boost::system::error_code error;
-    auto token =
-      boost::asio::redirect_error(boost::asio::use_awaitable, error);
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
     boost::asio::steady_timer timer(pool_.Context(0));
     std::string buffer;
     while (true) {
