Test the whole path of an order, an announcement, an answer and a planned stop

One control instance, one entry instance and a scripted server on loopback: the request that is under way at the stop is answered and its connection closed.

--- /dev/null
+++ b/tests/edge/EdgeTest.cpp
@@ -0,0 +1,170 @@
+#include "../forward/ScriptedServer.h"
+#include "edge/EdgeControl.h"
+#include "edge/EdgeInstance.h"
+#include "http/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <future>
+
+using namespace foxtail;
+
+namespace {
+
+const Vocabulary kWords;
+
+FrameTransportSettings FramesOf(const char* aName)
+{
+  FrameTransportSettings settings;
+  settings.instance_ = InstanceId(aName);
+  settings.deploymentKey_ = "key of the tests";
+  return settings;
+}
+
+/// A folder of its own, removed at the end.
+struct Folder
+{
+  Folder()
+    : path_(
+        std::filesystem::temp_directory_path() /
+        ("foxtail-edge-" + std::to_string(Now().time_since_epoch().count())))
+  {
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  std::filesystem::path path_;
+};
+
+EdgeControlSettings ControlOf(const Folder& aFolder, uint16_t aPort)
+{
+  EdgeControlSettings settings;
+  settings.instance_ = InstanceId("control-1");
+  settings.zone_ = ZoneName("zone-a");
+  settings.data_ = aFolder.path_.string();
+  settings.frames_ = FramesOf("control-1");
+  settings.frames_.port_ = aPort;
+  settings.control_.instance_ = settings.instance_;
+  settings.control_.endpoint_ = "127.0.0.1:" + std::to_string(aPort);
+  settings.control_.goal_.voters_ = 1;
+  settings.control_.bootstrapDelay_ = milliseconds(10);
+  settings.control_.consensus_.electionTimeout_ = milliseconds(100);
+  settings.isFounder_ = true;
+  return settings;
+}
+
+EdgeSettings EntryOf(uint16_t aControlPort)
+{
+  EdgeSettings settings;
+  settings.instance_ = InstanceId("entry-1");
+  settings.zone_ = ZoneName("zone-a");
+  settings.forward_.zone_ = settings.zone_;
+  settings.frames_ = FramesOf("entry-1");
+  settings.feed_.zone_ = settings.zone_;
+  settings.feed_.seeds_ = { "127.0.0.1:" + std::to_string(aControlPort) };
+  settings.drain_ = milliseconds(300);
+  settings.stopTimeout_ = seconds(3);
+  return settings;
+}
+
+/// One route to the service that the text names.
+absl::StatusOr<RouteDocument> Decode(const std::string& aText)
+{
+  RouteDocument document;
+  Route route;
+  route.name_ = "all";
+  route.host_ = "shop.example";
+  route.pathPrefix_ = "/";
+  route.effect_ = RouteEffect::AtMostOnce;
+  route.timeout_ = seconds(3);
+  route.objective_ = seconds(1);
+  route.target_ = SingleTarget{ ServiceName(aText) };
+  document.routes_.push_back(route);
+  document.services_.push_back({ ServiceName(aText), 30 });
+  return document;
+}
+
+uint16_t FreePort()
+{
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+template<typename Condition>
+bool WaitUntil(Condition aCondition)
+{
+  const TimePoint deadline = Now() + seconds(8);
+  while (!aCondition() && Now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return aCondition();
+}
+
+absl::StatusOr<HttpResponse> Ask(uint16_t aPort)
+{
+  HttpRequest request = MakeRequest(boost::beast::http::verb::get, "/1");
+  request.set(boost::beast::http::field::host, "shop.example");
+  request.set(kWords.requestId_, "request-1");
+  return BlockingExchange({ boost::asio::ip::make_address("127.0.0.1"), aPort },
+                          std::move(request),
+                          seconds(5));
+}
+
+} // namespace
+
+TEST_CASE("edge: from an order and an announcement to an answer and a stop")
+{
+  Folder folder;
+  const uint16_t port = FreePort();
+  auto data = DataFolder::Open(folder.path_.string());
+  REQUIRE(data.ok());
+  EdgeControl control(ControlOf(folder, port), *std::move(data), [] {});
+  REQUIRE(control.Start().ok());
+  EdgeInstance entry(EntryOf(port), kWords, Decode);
+  REQUIRE(entry.Start().ok());
+  CHECK(entry.NotReadyReason() != "");
+
+  REQUIRE(WaitUntil([&] { return control.IsLeader(); }));
+  const auto take = [&](uint64_t aVersion) {
+    auto order = control.Orders().Take(DocumentVersion(aVersion), "proofs");
+    auto outcome = boost::asio::co_spawn(
+      control.Workers().Context(0), std::move(order), boost::asio::use_future);
+    return std::get_if<OrderTaken>(
+             &static_cast<const OrderOutcome&>(outcome.get())) != nullptr;
+  };
+  REQUIRE(WaitUntil([&] { return take(4); }));
+  CHECK(take(4));
+
+  ScriptedServer server([](const std::string&, size_t) {
+    return ScriptedReply{ "HTTP/1.1 200 OK\r\n" + kWords.signature_ +
+                            ": sig-1\r\nContent-Length: 4\r\n\r\ngood",
+                          milliseconds(500) };
+  });
+  ServerAnnouncement announcement;
+  announcement.id_ = BackendId("i-1");
+  announcement.service_ = ServiceName("proofs");
+  announcement.address_ = server.Address();
+  announcement.zone_ = ZoneName("zone-a");
+  control.Feed().OnAnnouncement(announcement, Now());
+  REQUIRE(WaitUntil([&] {
+    return entry.NotReadyReason().empty() &&
+           Ask(entry.CallersPort())->result_int() == 200;
+  }));
+
+  // A planned stop: not ready at once, what is under way is answered.
+  const size_t before = server.Requests().size();
+  auto answer =
+    std::async(std::launch::async, [&] { return Ask(entry.CallersPort()); });
+  REQUIRE(WaitUntil([&] { return server.Requests().size() > before; }));
+  auto stop = std::async(std::launch::async, [&] { entry.Stop(); });
+  CHECK(WaitUntil([&] { return entry.NotReadyReason() != ""; }));
+  const auto response = answer.get();
+  REQUIRE(response.ok());
+  CHECK(response->result_int() == 200);
+  CHECK(response->body() == "good");
+  CHECK_FALSE(response->keep_alive());
+  stop.get();
+  control.Stop();
+}
