Take in control instances whose seeds do not lead

Cause: an instance with an empty folder asked its seeds only, and only a leader took the question. One whose three seeds were followers never became a member.

Ruled out: slow catching up (the instance is in no membership line at all).

Change: a member that does not lead passes the question on to the leader, which answers the joiner where it is reached, as the joiner may know no address of it. A joiner also asks the members that it knows from its own log. The map of joiners was filled under an emptied name, as the value was moved before the key was read.

--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -6,8 +6,11 @@
 #include "core/Log.h"
 #include "core/RandomSource.h"
 #include "http/HttpClient.h"
+#include "instance/Endpoint.h"
 #include "instance/WireCodec.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace foxtail {
@@ -269,11 +272,17 @@
                                     const Frame& aFrame)
 {
   const auto root = VerifiedRoot<wire::ControlJoin>(aFrame.payload_);
-  if (!root.ok() || (*root)->instance()->str() != aFrom.Value()) {
+  if (!root.ok()) {
+    LogLine(LogLevel::Warning, "join_refused")
+      .Add("from", aFrom)
+      .Add("error", root.status());
     return;
   }
   Joining joining;
-  joining.member_.id_ = { aFrom, Incarnation((*root)->incarnation()) };
+  joining.from_ = aFrom;
+  joining.isGreeting_ = (*root)->is_greeting();
+  joining.member_.id_ = { InstanceId((*root)->instance()->str()),
+                          Incarnation((*root)->incarnation()) };
   joining.member_.endpoint_ = (*root)->endpoint()->str();
   joining.member_.admin_ = (*root)->admin()->str();
   Post(std::move(joining));
@@ -383,19 +392,81 @@
 
 void ReplicatedControl::On(Joining aJoining)
 {
+  const MemberId& joiner = aJoining.member_.id_;
+  const bool isDirect = aJoining.from_ == joiner.instance_;
+  if (!isDirect && !IsMember(aJoining.from_)) {
+    LogLine(LogLevel::Warning, "join_refused")
+      .Add("from", aJoining.from_)
+      .Add("joiner", joiner.instance_)
+      .Add("reason", "passed on by an instance that is no member");
+    return;
+  }
+  if (aJoining.isGreeting_) {
+    if (isDirect) {
+      endpoints_[joiner.instance_] = aJoining.member_.endpoint_;
+    }
+    return;
+  }
   if (node_->Role() == ConsensusRole::Leader) {
-    endpoints_[aJoining.member_.id_.instance_] = aJoining.member_.endpoint_;
-    joiners_[aJoining.member_.id_.instance_] = { std::move(aJoining.member_),
-                                                 now_ };
-  } else if (node_->Group() != 0) {
+    endpoints_[joiner.instance_] = aJoining.member_.endpoint_;
+    Greet(joiner.instance_);
+    joiners_.insert_or_assign(joiner.instance_,
+                              Joiner{ aJoining.member_, now_ });
+  } else if (node_->Group() != 0 && isDirect) {
+    endpoints_[joiner.instance_] = aJoining.member_.endpoint_;
     // Tells an instance that would make a group that there is one.
-    endpoints_[aJoining.member_.id_.instance_] = aJoining.member_.endpoint_;
-    SendMessage({ node_->Group(),
-                  self_,
-                  aJoining.member_.id_,
-                  node_->CurrentTerm(),
-                  VoteReply{} });
+    SendMessage(
+      { node_->Group(), self_, joiner, node_->CurrentTerm(), VoteReply{} });
+    // The joiner may have been told of members that do not lead only.
+    if (node_->Leader().has_value() && *node_->Leader() != self_) {
+      SendJoin(node_->Leader()->instance_, aJoining.member_);
+    }
+  }
+}
+
+bool ReplicatedControl::IsMember(const InstanceId& aInstance) const
+{
+  const auto& members = node_->CurrentMembership().members_;
+  return std::any_of(
+    members.begin(), members.end(), [&](const GroupMember& aRow) {
+      return aRow.id_.instance_ == aInstance;
+    });
+}
+
+void ReplicatedControl::SendJoin(const InstanceId& aTo,
+                                 const GroupMember& aJoiner)
+{
+  SendJoinFrame(aTo, aJoiner, false);
+}
+
+void ReplicatedControl::Greet(const InstanceId& aJoiner)
+{
+  const GroupMember leader{
+    self_, VotingRole::Voter, settings_.endpoint_, settings_.admin_
+  };
+  SendJoinFrame(aJoiner, leader, true);
+}
+
+void ReplicatedControl::SendJoinFrame(const InstanceId& aTo,
+                                      const GroupMember& aSubject,
+                                      bool aIsGreeting)
+{
+  const std::string* text = EndpointOf(aTo);
+  const auto to = text == nullptr ? std::nullopt : ToEndpoint(*text);
+  if (!to) {
+    return;
   }
+  flatbuffers::FlatBufferBuilder builder;
+  const auto instance = builder.CreateString(aSubject.id_.instance_.Value());
+  const auto endpoint = builder.CreateString(aSubject.endpoint_);
+  const auto admin = builder.CreateString(aSubject.admin_);
+  builder.Finish(wire::CreateControlJoin(builder,
+                                         instance,
+                                         aSubject.id_.incarnation_.Value(),
+                                         endpoint,
+                                         admin,
+                                         aIsGreeting));
+  frames_.Send(*to, { FrameKind::ControlJoin, 0, TakeBytes(builder) });
 }
 
 void ReplicatedControl::On(Removal aRemoval)
@@ -667,17 +738,20 @@
     return;
   }
   nextJoin_ = now_ + kJoinInterval;
-  flatbuffers::FlatBufferBuilder builder;
-  const auto instance = builder.CreateString(self_.instance_.Value());
-  const auto endpoint = builder.CreateString(settings_.endpoint_);
-  const auto admin = builder.CreateString(settings_.admin_);
-  builder.Finish(wire::CreateControlJoin(
-    builder, instance, self_.incarnation_.Value(), endpoint, admin));
+  const GroupMember joiner{
+    self_, VotingRole::Learner, settings_.endpoint_, settings_.admin_
+  };
+  // Seeds may be out of date; the members of an earlier time may be too.
+  std::set<InstanceId> asked;
   for (const ControlPeer& peer : settings_.voters_) {
-    const auto to = ParseEndpoint(peer.endpoint_);
-    if (peer.instance_ != self_.instance_ && to.ok()) {
-      frames_.Send(*to, { FrameKind::ControlJoin, 0, TakeBytes(builder) });
-    }
+    asked.insert(peer.instance_);
+  }
+  for (const GroupMember& member : node_->CurrentMembership().members_) {
+    asked.insert(member.id_.instance_);
+  }
+  asked.erase(self_.instance_);
+  for (const InstanceId& instance : asked) {
+    SendJoin(instance, joiner);
   }
 }
 
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -154,6 +154,10 @@
   struct Joining
   {
     GroupMember member_;
+    /// Who sent it: the member that it is of, or one that passed it on.
+    InstanceId from_;
+    /// A leader's answer, which tells where it is reached.
+    bool isGreeting_ = false;
   };
   struct Removal
   {
@@ -237,6 +241,15 @@
   bool IsFounding();
   void ExpirePending();
   void AskToJoin();
+  bool IsMember(const InstanceId& aInstance) const;
+  /// Asks an instance to have @p aJoiner taken into the group.
+  void SendJoin(const InstanceId& aTo, const GroupMember& aJoiner);
+  /// Tells a joiner where this leader is reached; it may know other members
+  /// only.
+  void Greet(const InstanceId& aJoiner);
+  void SendJoinFrame(const InstanceId& aTo,
+                     const GroupMember& aSubject,
+                     bool aIsGreeting);
   void PlanMembers();
   void StartSnapshot();
   void FailEverything(const absl::Status& aStatus);
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -1308,7 +1308,8 @@
     VT_INSTANCE = 4,
     VT_INCARNATION = 6,
     VT_ENDPOINT = 8,
-    VT_ADMIN = 10
+    VT_ADMIN = 10,
+    VT_IS_GREETING = 12
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1322,6 +1323,9 @@
   const flatbuffers::String *admin() const {
     return GetPointer<const flatbuffers::String *>(VT_ADMIN);
   }
+  bool is_greeting() const {
+    return GetField<uint8_t>(VT_IS_GREETING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_INSTANCE) &&
@@ -1331,6 +1335,7 @@
            verifier.VerifyString(endpoint()) &&
            VerifyOffsetRequired(verifier, VT_ADMIN) &&
            verifier.VerifyString(admin()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_GREETING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1351,6 +1356,9 @@
   void add_admin(flatbuffers::Offset<flatbuffers::String> admin) {
     fbb_.AddOffset(ControlJoin::VT_ADMIN, admin);
   }
+  void add_is_greeting(bool is_greeting) {
+    fbb_.AddElement<uint8_t>(ControlJoin::VT_IS_GREETING, static_cast<uint8_t>(is_greeting), 0);
+  }
   explicit ControlJoinBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1370,12 +1378,14 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    flatbuffers::Offset<flatbuffers::String> admin = 0) {
+    flatbuffers::Offset<flatbuffers::String> admin = 0,
+    bool is_greeting = false) {
   ControlJoinBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_admin(admin);
   builder_.add_endpoint(endpoint);
   builder_.add_instance(instance);
+  builder_.add_is_greeting(is_greeting);
   return builder_.Finish();
 }
 
@@ -1384,7 +1394,8 @@
     const char *instance = nullptr,
     uint64_t incarnation = 0,
     const char *endpoint = nullptr,
-    const char *admin = nullptr) {
+    const char *admin = nullptr,
+    bool is_greeting = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto admin__ = admin ? _fbb.CreateString(admin) : 0;
@@ -1393,7 +1404,8 @@
       instance__,
       incarnation,
       endpoint__,
-      admin__);
+      admin__,
+      is_greeting);
 }
 
 inline bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type) {
--- /dev/null
+++ b/tests/control/JoinTest.cpp
@@ -0,0 +1,130 @@
+#include "consensus/FileLogStorage.h"
+#include "control/ReplicatedControl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <thread>
+
+using namespace foxtail;
+
+namespace {
+
+uint16_t FreePort()
+{
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+/// A control instance, in a folder of its own that is removed at the end.
+class Member
+{
+public:
+  /// @param aSeeds the control instances that it is told of.
+  Member(const char* aName, const std::vector<const Member*>& aSeeds)
+    : name_(aName)
+    , port_(FreePort())
+    , folder_(std::filesystem::temp_directory_path() /
+              ("foxtail-join-" + std::to_string(port_)))
+    , pool_(1)
+    , frames_(FramesOf(), pool_)
+    , control_(SettingsOf(aSeeds),
+               *DataFolder::Open(folder_.string()),
+               std::make_unique<FileLogStorage>(folder_.string()),
+               frames_,
+               metrics_)
+  {
+  }
+  ~Member()
+  {
+    control_.Stop();
+    frames_.Stop();
+    pool_.Stop();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void Start(bool aIsFounder)
+  {
+    REQUIRE(control_.Start(aIsFounder).ok());
+    REQUIRE(frames_.Start().ok());
+    pool_.Start();
+  }
+
+  bool IsLeader() const { return control_.IsLeader(); }
+
+  /// @return voters of the group as this member knows it.
+  size_t Voters()
+  {
+    auto inspection =
+      control_.Inspect([](const ConsensusNode& aNode, const ControlState&) {
+        return aNode.CurrentMembership().VoterCount();
+      });
+    return boost::asio::co_spawn(
+             pool_.Context(0), std::move(inspection), boost::asio::use_future)
+      .get();
+  }
+
+private:
+  std::string Endpoint() const { return "127.0.0.1:" + std::to_string(port_); }
+
+  FrameTransportSettings FramesOf() const
+  {
+    FrameTransportSettings settings;
+    settings.instance_ = InstanceId(name_);
+    settings.deploymentKey_ = "key of the tests";
+    settings.port_ = port_;
+    return settings;
+  }
+
+  ControlSettings SettingsOf(const std::vector<const Member*>& aSeeds) const
+  {
+    ControlSettings settings;
+    settings.instance_ = InstanceId(name_);
+    settings.endpoint_ = Endpoint();
+    settings.goal_.voters_ = 3;
+    settings.bootstrapDelay_ = milliseconds(10);
+    settings.foundingTimeout_ = milliseconds(10);
+    settings.consensus_.electionTimeout_ = milliseconds(300);
+    for (const Member* seed : aSeeds) {
+      settings.voters_.push_back({ InstanceId(seed->name_), seed->Endpoint() });
+    }
+    return settings;
+  }
+
+  const std::string name_;
+  const uint16_t port_;
+  const std::filesystem::path folder_;
+  Metrics metrics_;
+  WorkerPool pool_;
+  FrameTransport frames_;
+  ReplicatedControl control_;
+};
+
+template<typename Condition>
+bool WaitUntil(Condition aCondition)
+{
+  const TimePoint deadline = Now() + seconds(8);
+  while (!aCondition() && Now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return aCondition();
+}
+
+} // namespace
+
+TEST_CASE("join: an instance whose seeds do not lead is taken in all the same")
+{
+  Member first("control-1", {});
+  Member second("control-2", { &first });
+  first.Start(true);
+  REQUIRE(WaitUntil([&] { return first.IsLeader(); }));
+  second.Start(false);
+  REQUIRE(WaitUntil([&] { return second.Voters() == 2; }));
+  Member third("control-3", { &second });
+  third.Start(false);
+  CHECK(WaitUntil([&] { return first.Voters() == 3; }));
+  CHECK(first.IsLeader());
+}
