Keep goodbyes that an instance with older news hears

Cause, found by reading how goodbyes travel: the goodbye of a backend server was ignored by whoever knew a later announcement than the instance that heard the goodbye (its sequence was compared as if it were an announcement), and by an instance that had never heard the server. A server that says goodbye without draining first could then stay in use until its connections failed.

Change: within one start of a server a goodbye is final whatever its sequence; one of an unknown server is remembered when it names its start.

Measured: the two new cases fail on the code before and pass after.

--- a/src/policy/ServerDirectory.cpp
+++ b/src/policy/ServerDirectory.cpp
@@ -1,10 +1,26 @@
 #include "policy/ServerDirectory.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace foxtail {
 namespace {
 
+uint64_t HashOf(const ServerAnnouncement& aAnnouncement)
+{
+  const bool isUnset = aAnnouncement.id_.Value().empty();
+  if (isUnset || aAnnouncement.phase_ == ServerPhase::Gone) {
+    return 0;
+  }
+  const std::string text =
+    aAnnouncement.id_.Value() + ' ' + aAnnouncement.service_.Value() + ' ' +
+    aAnnouncement.address_ + ' ' + aAnnouncement.zone_.Value() + ' ' +
+    std::to_string(aAnnouncement.slots_) + ' ' +
+    std::string(NameOf(aAnnouncement.phase_)) + ' ' +
+    std::to_string(aAnnouncement.startedAtMs_);
+  return XXH3_64bits(text.data(), text.size());
+}
+
 bool IsSameContent(const ServerAnnouncement& aLeft,
                    const ServerAnnouncement& aRight)
 {
@@ -20,10 +36,11 @@
   if (aNews.startedAtMs_ != aKnown.startedAtMs_) {
     return aNews.startedAtMs_ < aKnown.startedAtMs_;
   }
-  if (aKnown.phase_ == ServerPhase::Gone) {
-    return aNews.phase_ != ServerPhase::Gone;
+  if (aNews.phase_ == ServerPhase::Gone) {
+    return false;
   }
-  return aNews.sequence_ < aKnown.sequence_;
+  return aKnown.phase_ == ServerPhase::Gone ||
+         aNews.sequence_ < aKnown.sequence_;
 }
 
 } // namespace
@@ -36,6 +53,10 @@
       IsOlder(aAnnouncement, found->second.announcement_)) {
     return DirectoryVerdict::Stale;
   }
+  if (aAnnouncement.phase_ == ServerPhase::Gone && found != rows_.end() &&
+      aAnnouncement.startedAtMs_ == found->second.announcement_.startedAtMs_) {
+    return Leave(aAnnouncement.id_, aAnnouncement.startedAtMs_, aHeardAt);
+  }
   if (IsAddressTaken(aAnnouncement)) {
     return DirectoryVerdict::Stale;
   }
@@ -46,7 +67,7 @@
     ReleaseAddress(aAnnouncement);
   }
   DirectoryRow& row = rows_[aAnnouncement.id_];
-  row.announcement_ = aAnnouncement;
+  Put(row, aAnnouncement);
   Touch(row, isChanged, aHeardAt);
   return isChanged ? DirectoryVerdict::Changed : DirectoryVerdict::Renewed;
 }
@@ -57,14 +78,26 @@
 {
   const auto found = rows_.find(aId);
   if (found == rows_.end()) {
-    return DirectoryVerdict::Stale;
+    if (aStartedAtMs == 0) {
+      return DirectoryVerdict::Stale;
+    }
+    ServerAnnouncement goodbye;
+    goodbye.id_ = aId;
+    goodbye.phase_ = ServerPhase::Gone;
+    goodbye.startedAtMs_ = aStartedAtMs;
+    DirectoryRow& row = rows_[aId];
+    Put(row, goodbye);
+    Touch(row, true, aNow);
+    return DirectoryVerdict::Changed;
   }
-  ServerAnnouncement& known = found->second.announcement_;
-  if (aStartedAtMs != 0 && aStartedAtMs < known.startedAtMs_) {
+  ServerAnnouncement goodbye = found->second.announcement_;
+  if (aStartedAtMs != 0 && aStartedAtMs < goodbye.startedAtMs_) {
     return DirectoryVerdict::Stale;
   }
-  const bool isChanged = known.phase_ != ServerPhase::Gone;
-  known.phase_ = ServerPhase::Gone;
+  const bool isChanged = goodbye.phase_ != ServerPhase::Gone;
+  goodbye.phase_ = ServerPhase::Gone;
+  goodbye.startedAtMs_ = std::max(goodbye.startedAtMs_, aStartedAtMs);
+  Put(found->second, goodbye);
   Touch(found->second, isChanged, aNow);
   return isChanged ? DirectoryVerdict::Changed : DirectoryVerdict::Renewed;
 }
@@ -86,7 +119,9 @@
 bool ServerDirectory::Forget(TimePoint aNow)
 {
   const size_t dropped = std::erase_if(rows_, [&](const auto& aRow) {
-    return aNow - aRow.second.heardAt_ > kForgetAfter;
+    const bool isSilent = aNow - aRow.second.heardAt_ > kForgetAfter;
+    digest_ ^= isSilent ? HashOf(aRow.second.announcement_) : 0;
+    return isSilent;
   });
   if (dropped == 0) {
     return false;
@@ -125,7 +160,9 @@
     if (earlier != rows_.end() &&
         earlier->second.announcement_.address_ == aAnnouncement.address_ &&
         earlier->second.announcement_.phase_ != ServerPhase::Gone) {
-      earlier->second.announcement_.phase_ = ServerPhase::Gone;
+      ServerAnnouncement ended = earlier->second.announcement_;
+      ended.phase_ = ServerPhase::Gone;
+      Put(earlier->second, ended);
       Touch(earlier->second, true, earlier->second.heardAt_);
     }
     holder = aAnnouncement.id_;
@@ -137,11 +174,18 @@
                             TimePoint aHeardAt)
 {
   aRow.heardAt_ = std::max(aRow.heardAt_, aHeardAt);
-  aRow.renewedAt_ = ++revision_;
+  ++revision_;
   if (aIsChanged) {
     aRow.changedAt_ = revision_;
     changeRevision_ = revision_;
   }
 }
 
+void ServerDirectory::Put(DirectoryRow& aRow,
+                          const ServerAnnouncement& aAnnouncement)
+{
+  digest_ ^= HashOf(aRow.announcement_) ^ HashOf(aAnnouncement);
+  aRow.announcement_ = aAnnouncement;
+}
+
 } // namespace foxtail
--- a/src/policy/ServerDirectory.h
+++ b/src/policy/ServerDirectory.h
@@ -77,8 +77,6 @@
   TimePoint heardAt_{};
   /// Revision at which the row last changed.
   uint64_t changedAt_ = 0;
-  /// Revision at which the server was last heard.
-  uint64_t renewedAt_ = 0;
 };
 
 /// Announced backend servers, ordered by incarnation and sequence for each id
@@ -96,7 +94,9 @@
   DirectoryVerdict Apply(const ServerAnnouncement& aAnnouncement,
                          TimePoint aHeardAt);
 
-  /// Takes a goodbye. @p aStartedAtMs is 0 when the server did not tell it.
+  /// Takes a goodbye. @p aStartedAtMs is 0 when the server did not tell it. One
+  /// that tells it is remembered also when the server was never heard of:
+  /// others may have heard it.
   DirectoryVerdict Leave(const BackendId& aId,
                          uint64_t aStartedAtMs,
                          TimePoint aNow);
@@ -118,16 +118,25 @@
   uint64_t Revision() const { return revision_; }
   /// Revision of the latest change.
   uint64_t ChangeRevision() const { return changeRevision_; }
+  /// @return a hash of the servers that are not gone and of what they last said
+  /// of themselves, the same in each process; directories that know the same
+  /// have the same digest.
+  uint64_t Digest() const { return digest_; }
 
 private:
   bool IsAddressTaken(const ServerAnnouncement& aAnnouncement) const;
   void ReleaseAddress(const ServerAnnouncement& aAnnouncement);
   void Touch(DirectoryRow& aRow, bool aIsChanged, TimePoint aHeardAt);
+  /// Replaces what a row holds and keeps the digest.
+  void Put(DirectoryRow& aRow, const ServerAnnouncement& aAnnouncement);
 
   std::unordered_map<BackendId, DirectoryRow> rows_;
   std::unordered_map<std::string, BackendId> byAddress_;
   uint64_t revision_ = 0;
   uint64_t changeRevision_ = 0;
+  /// The hashes of all rows joined by exclusive or, so that each change costs
+  /// the same however many rows there are.
+  uint64_t digest_ = 0;
 };
 
 } // namespace foxtail
--- a/tests/policy/ServerDirectoryTest.cpp
+++ b/tests/policy/ServerDirectoryTest.cpp
@@ -127,3 +127,67 @@
   CHECK(directory.Forget(kStart + ServerDirectory::kForgetAfter + seconds(31)));
   CHECK(directory.Rows().empty());
 }
+
+TEST_CASE("directory: a goodbye counts whoever heard the latest announcement")
+{
+  // One instance hears the goodbye, another one heard later announcements.
+  ServerDirectory elsewhere;
+  elsewhere.Apply(Announce("a", "1:1", 10, 5), kStart);
+  elsewhere.Leave(BackendId("a"), 10, kStart);
+  ServerDirectory directory;
+  directory.Apply(Announce("a", "1:1", 10, 9), kStart);
+  CHECK(directory.Apply(elsewhere.Find(BackendId("a"))->announcement_,
+                        kStart) == DirectoryVerdict::Changed);
+  CHECK(PhaseOf(directory, "a") == ServerPhase::Gone);
+}
+
+TEST_CASE("directory: a goodbye of a server that was never heard is kept")
+{
+  ServerDirectory directory;
+  CHECK(directory.Leave(BackendId("a"), 10, kStart) ==
+        DirectoryVerdict::Changed);
+  REQUIRE(directory.Find(BackendId("a")) != nullptr);
+  CHECK(directory.Apply(Announce("a", "1:1", 10, 3), kStart) ==
+        DirectoryVerdict::Stale);
+  SUBCASE("another instance that knew the server takes it")
+  {
+    ServerDirectory other;
+    other.Apply(Announce("a", "1:1", 10, 3), kStart);
+    CHECK(other.Apply(directory.Find(BackendId("a"))->announcement_, kStart) ==
+          DirectoryVerdict::Changed);
+    CHECK(PhaseOf(other, "a") == ServerPhase::Gone);
+    // A second telling of the same goodbye is no news.
+    CHECK(other.Leave(BackendId("a"), 10, kStart) == DirectoryVerdict::Renewed);
+  }
+  SUBCASE("a goodbye that names no start tells nothing")
+  {
+    CHECK(directory.Leave(BackendId("b"), 0, kStart) ==
+          DirectoryVerdict::Stale);
+  }
+}
+
+TEST_CASE("directory: digests are equal when the same servers may be used")
+{
+  ServerDirectory one;
+  ServerDirectory two;
+  const uint64_t empty = one.Digest();
+  one.Apply(Announce("a", "1:1", 10, 1), kStart);
+  one.Apply(Announce("b", "1:2", 10, 1), kStart);
+  two.Apply(Announce("b", "1:2", 10, 7), kStart + seconds(1));
+  CHECK(one.Digest() != two.Digest());
+  two.Apply(Announce("a", "1:1", 10, 4), kStart + seconds(1));
+  CHECK(one.Digest() == two.Digest());
+  two.Apply(Announce("a", "1:1", 10, 5, ServerPhase::Draining), kStart);
+  CHECK(one.Digest() != two.Digest());
+  SUBCASE("servers that are gone count as much as those never heard of")
+  {
+    one.Leave(BackendId("a"), 10, kStart);
+    one.Leave(BackendId("b"), 10, kStart);
+    CHECK(one.Digest() == empty);
+  }
+  SUBCASE("forgotten servers do not count")
+  {
+    one.Forget(kStart + ServerDirectory::kForgetAfter + seconds(1));
+    CHECK(one.Digest() == empty);
+  }
+}
