--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -4,12 +4,26 @@
 #include "core/Log.h"
 #include "core/RandomSource.h"
 
+#include <boost/asio/post.hpp>
+
 namespace foxtail {
 namespace {
 
 /// How often the totals are logged.
 constexpr seconds kTrafficInterval{ 10 };
 
+FeedClientSettings PeersOf(const EdgeControlSettings& aSettings)
+{
+  FeedClientSettings settings;
+  settings.zones_ = ZoneMap(aSettings.zone_, {});
+  settings.isControl_ = true;
+  settings.ownEndpoint_ = aSettings.control_.endpoint_;
+  for (const ControlPeer& peer : aSettings.control_.voters_) {
+    settings.seeds_.push_back(peer.endpoint_);
+  }
+  return settings;
+}
+
 } // namespace
 
 EdgeControl::EdgeControl(EdgeControlSettings aSettings,
@@ -24,7 +38,8 @@
              frames_,
              metrics_)
   , orders_(control_)
-  , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed())
+  , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed(), Now())
+  , peers_(PeersOf(settings_), frames_, workers_.Context(0), *this)
   , traffic_(workers_.Context(0))
 {
   control_.OnFailure(std::move(aOnFailure));
@@ -38,6 +53,8 @@
     for (const GroupMember& member : aMembership.members_) {
       endpoints.push_back(member.endpoint_);
     }
+    boost::asio::post(workers_.Context(0),
+                      [this, endpoints] { peers_.SetSeeds(endpoints, Now()); });
     feed_.OnControls(std::move(endpoints));
   });
 }
@@ -56,6 +73,7 @@
   if (!status.ok()) {
     return status;
   }
+  peers_.Start(Now());
   ArmTraffic();
   workers_.Start();
   LogLine(LogLevel::Info, "started")
@@ -66,6 +84,12 @@
   return absl::OkStatus();
 }
 
+void EdgeControl::OnFeedServers(const ServerDirectory& aDirectory,
+                                TimePoint aNow)
+{
+  feed_.OnPeerServers(aDirectory, aNow);
+}
+
 void EdgeControl::ArmTraffic()
 {
   traffic_.expires_after(kTrafficInterval);
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -4,6 +4,7 @@
 #include "control/OrderService.h"
 #include "core/Metrics.h"
 #include "core/WorkerPool.h"
+#include "feed/FeedClient.h"
 #include "feed/FeedSource.h"
 #include "instance/FrameTransport.h"
 
@@ -24,17 +25,17 @@
   bool isFounder_ = false;
 };
 
-/// A control instance: its member of the replicated log, orders, and the feed
-/// of entry instances. Start() and Stop() are called from one thread, the rest
-/// is thread safe.
-class EdgeControl
+/// A control instance: its member of the replicated log, orders, the feed of
+/// entry instances, and what other control instances hear from backend servers.
+/// Start() and Stop() are called from one thread, the rest is thread safe.
+class EdgeControl : private FeedListener
 {
 public:
   /// @param aOnFailure is called once when the storage has failed.
   EdgeControl(EdgeControlSettings aSettings,
               DataFolder aFolder,
               std::function<void()> aOnFailure);
-  ~EdgeControl();
+  ~EdgeControl() override;
 
   absl::Status Start();
   /// Hands over leadership and ends.
@@ -48,6 +49,12 @@
   bool IsLeader() const { return control_.IsLeader(); }
 
 private:
+  void OnFeedDocument(DocumentVersion, const std::string&, TimePoint) override
+  {
+  }
+  void OnFeedServers(const ServerDirectory& aDirectory,
+                     TimePoint aNow) override;
+  void OnFeedEntries(uint32_t, bool, TimePoint) override {}
   /// Logs what was sent to other instances, by kind.
   void ArmTraffic();
 
@@ -58,6 +65,7 @@
   ReplicatedControl control_;
   OrderService orders_;
   FeedSource feed_;
+  FeedClient peers_;
   boost::asio::steady_timer traffic_;
 };
 
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -113,16 +113,19 @@
   serversGauge_.Set(static_cast<double>(gateway_.Servers()));
 }
 
-void EdgeInstance::OnFeedEntries(uint32_t aEntries, TimePoint)
+void EdgeInstance::OnFeedEntries(uint32_t aEntries, bool aIsComplete, TimePoint)
 {
-  if (aEntries == entries_ || aEntries == 0) {
+  const uint32_t before = gateway_.Instances();
+  // Too small a number would let all together exceed what they share.
+  const uint32_t now = aIsComplete ? aEntries : std::max(before, aEntries);
+  if (now == before || now == 0) {
     return;
   }
   LogLine(LogLevel::Info, "entries_changed")
-    .Add("before", entries_)
-    .Add("now", aEntries);
-  entries_ = aEntries;
-  gateway_.SetInstances(aEntries);
+    .Add("before", before)
+    .Add("now", now)
+    .Add("complete", aIsComplete);
+  gateway_.SetInstances(now);
 }
 
 void EdgeInstance::ArmTick()
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -70,7 +70,9 @@
                       TimePoint aNow) override;
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
-  void OnFeedEntries(uint32_t aEntries, TimePoint aNow) override;
+  void OnFeedEntries(uint32_t aEntries,
+                     bool aIsComplete,
+                     TimePoint aNow) override;
   void ArmTick();
   void NoteReady(TimePoint aNow);
   /// Asks the worker.
@@ -91,7 +93,6 @@
   std::atomic<bool> isDraining_{ false };
   std::atomic<bool> isReady_{ false };
   bool wasReady_ = false;
-  uint32_t entries_ = 0;
   prometheus::Gauge& versionGauge_;
   prometheus::Gauge& serversGauge_;
   prometheus::Gauge& sourcesGauge_;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -1,5 +1,6 @@
 #include "feed/FeedClient.h"
 
+#include "core/Compression.h"
 #include "core/Log.h"
 #include "instance/Endpoint.h"
 
@@ -36,7 +37,9 @@
                           TimePoint aNow)
 {
   for (const std::string& seed : aSeeds) {
-    Ask(seed, aNow);
+    if (seed != settings_.ownEndpoint_) {
+      Ask(seed, aNow);
+    }
   }
 }
 
@@ -49,7 +52,8 @@
     std::all_of(sources_.begin(), sources_.end(), [](const auto& aRow) {
       return aRow.second.hasAnswered_;
     });
-  return haveAllAnswered || aNow - firstDocumentAt_ >= settings_.startTimeout_;
+  return (haveAllAnswered && hasServers_) ||
+         aNow - firstDocumentAt_ >= settings_.startTimeout_;
 }
 
 size_t FeedClient::LiveSources(TimePoint aNow) const
@@ -61,20 +65,6 @@
     }));
 }
 
-int FeedClient::DistanceTo(const Source& aSource) const
-{
-  constexpr int kOtherRegion = 2;
-  if (aSource.zone_ == settings_.zone_) {
-    return 0;
-  }
-  const auto own = settings_.regions_.find(settings_.zone_);
-  const auto other = settings_.regions_.find(aSource.zone_);
-  const bool isSameRegion = own != settings_.regions_.end() &&
-                            other != settings_.regions_.end() &&
-                            own->second == other->second;
-  return isSameRegion ? 1 : kOtherRegion;
-}
-
 bool FeedClient::IsLive(const Source& aSource, TimePoint aNow) const
 {
   return aSource.hasAnswered_ && !aSource.isLost_ &&
@@ -90,7 +80,7 @@
                              source.version_ >= aVersion &&
                              &source != failedSource_;
     if (isCandidate &&
-        (nearest == nullptr || DistanceTo(source) < DistanceTo(*nearest))) {
+        (nearest == nullptr || source.distance_ < nearest->distance_)) {
       nearest = &source;
     }
   }
@@ -115,13 +105,56 @@
 
 bool FeedClient::WantsText(const Source& aSource, TimePoint aNow)
 {
-  if (version_.Value() == 0 || !aSource.hasAnswered_) {
-    return true;
+  // The first answer tells where the source is.
+  if (settings_.isControl_ || !aSource.hasAnswered_) {
+    return false;
   }
   ChooseTextSource(aNow);
   return textSource_ == nullptr || textSource_ == &aSource;
 }
 
+bool FeedClient::WantsServers(const Source& aSource, TimePoint aNow) const
+{
+  if (settings_.isControl_) {
+    return true;
+  }
+  const bool isOverdue =
+    aSource.lacksServersSince_ != TimePoint::max() &&
+    aNow - aSource.lacksServersSince_ >= settings_.serversTimeout_;
+  return aSource.hasAnswered_ &&
+         (isOverdue || FindNearest(DocumentVersion(), aNow) == &aSource);
+}
+
+FeedRequest FeedClient::MakeRequest(const Source& aSource, TimePoint aNow)
+{
+  FeedRequest request;
+  request.source_ = aSource.id_;
+  request.cursor_ = aSource.cursor_;
+  request.knownVersion_ = version_;
+  request.knownControls_ = aSource.controlsNumber_;
+  request.isControl_ = settings_.isControl_;
+  request.wantsText_ = WantsText(aSource, aNow);
+  request.wantsServers_ = WantsServers(aSource, aNow);
+  request.wantsRenewals_ = request.wantsServers_ && !settings_.isControl_ &&
+                           aNow >= aSource.renewalsAt_;
+  const bool isNear = aSource.distance_ == ZoneDistance::Same;
+  request.wait_ = isNear ? settings_.wait_ : settings_.farWait_;
+  if (!aSource.hasAnswered_) {
+    request.wait_ = milliseconds(0);
+    return request;
+  }
+  if (toldVersion_ > version_ && !request.wantsText_) {
+    // The nearest source is about to bring the document; look again soon.
+    request.knownVersion_ = toldVersion_;
+    request.wait_ = std::min(request.wait_, settings_.textTimeout_);
+  }
+  if (aSource.lacksServersSince_ != TimePoint::max() &&
+      !request.wantsServers_) {
+    request.wait_ = std::min(request.wait_, settings_.serversTimeout_);
+  }
+  return request;
+}
+
 void FeedClient::Ask(const std::string& aEndpoint, TimePoint aNow)
 {
   const auto [row, isNew] = sources_.try_emplace(aEndpoint);
@@ -142,21 +175,7 @@
   asio::steady_timer timer(context_);
   while (true) {
     Source& source = sources_[aEndpoint];
-    FeedRequest request{
-      source.id_, source.cursor_, version_, settings_.wait_
-    };
-    request.wantsText_ = WantsText(source, Now());
-    const bool isNear = DistanceTo(source) == 0;
-    request.wait_ = isNear ? settings_.wait_ : settings_.farWait_;
-    request.knownControls_ = source.controlsNumber_;
-    request.wantsRenewals_ = Now() >= source.renewalsAt_;
-    if (!source.hasAnswered_) {
-      request.wait_ = milliseconds(0);
-    } else if (toldVersion_ > version_ && !request.wantsText_) {
-      // The nearest source is about to bring the document; look again soon.
-      request.knownVersion_ = toldVersion_;
-      request.wait_ = std::min(request.wait_, settings_.textTimeout_);
-    }
+    const FeedRequest request = MakeRequest(source, Now());
     Frame question{ FrameKind::Feed, 0, EncodeFeedRequest(request) };
     // g++ 12 destroys temporaries within an awaited expression twice.
     auto call = frames_.Call(
@@ -168,7 +187,7 @@
       auto news = DecodeFeedReply(reply->payload_);
       status = news.status();
       if (news.ok()) {
-        Take(source, *news, now);
+        Take(source, request, *news, now);
         continue;
       }
     }
@@ -187,31 +206,48 @@
   }
 }
 
-void FeedClient::Take(Source& aSource, const FeedReply& aReply, TimePoint aNow)
+void FeedClient::Take(Source& aSource,
+                      const FeedRequest& aRequest,
+                      const FeedReply& aReply,
+                      TimePoint aNow)
 {
   if (aSource.isLost_ && aSource.hasAnswered_) {
     LogLine(LogLevel::Info, "control_regained")
       .Add("document", aReply.version_)
       .Add("after_ms", ToMilliseconds(aNow - aSource.answeredAt_));
   }
+  if (aSource.id_ != aReply.source_) {
+    aSource.cursor_ = 0;
+  }
   aSource.isLost_ = false;
   aSource.hasAnswered_ = true;
   aSource.answeredAt_ = aNow;
   aSource.id_ = aReply.source_;
-  aSource.cursor_ = aReply.cursor_;
   aSource.controlsNumber_ = aReply.controlsNumber_;
-  if (aNow >= aSource.renewalsAt_) {
+  if (aRequest.wantsRenewals_) {
     aSource.renewalsAt_ = aNow + settings_.renewalInterval_;
   }
   aSource.entries_ = aReply.entries_;
-  aSource.zone_ = aReply.zone_;
+  aSource.hasAllEntries_ = aReply.hasAllEntries_;
+  aSource.distance_ = settings_.zones_.DistanceTo(aReply.zone_);
   aSource.version_ = aReply.version_;
-  if (aReply.version_ > toldVersion_) {
-    if (toldVersion_ <= version_) {
-      missingSince_ = aNow;
+  TakeServers(aSource, aRequest, aReply, aNow);
+  if (!settings_.isControl_) {
+    TakeDocument(aReply, aNow);
+  }
+  for (const std::string& control : aReply.controls_) {
+    if (control != settings_.ownEndpoint_) {
+      Ask(control, aNow);
     }
-    toldVersion_ = aReply.version_;
   }
+  TellEntries(aNow);
+}
+
+void FeedClient::TakeServers(Source& aSource,
+                             const FeedRequest& aRequest,
+                             const FeedReply& aReply,
+                             TimePoint aNow)
+{
   const uint64_t before = directory_.ChangeRevision();
   for (const FeedServer& server : aReply.servers_) {
     directory_.Apply(server.announcement_, aNow - server.age_);
@@ -220,26 +256,60 @@
     directory_.Renew(renewal.id_, renewal.sequence_, aNow - renewal.age_);
   }
   directory_.Forget(aNow);
+  if (aRequest.wantsServers_) {
+    hasServers_ = true;
+    aSource.cursor_ = aReply.cursor_;
+    aSource.lacksServersSince_ = TimePoint::max();
+  } else if (aReply.digest_ == directory_.Digest()) {
+    aSource.cursor_ = aReply.revision_;
+    aSource.lacksServersSince_ = TimePoint::max();
+  } else if (aReply.revision_ > aSource.cursor_) {
+    aSource.lacksServersSince_ = std::min(aSource.lacksServersSince_, aNow);
+  }
   if (directory_.ChangeRevision() != before) {
     listener_.OnFeedServers(directory_, aNow);
   }
-  if (aReply.text_ != nullptr && aReply.version_ > version_) {
-    if (version_.Value() == 0) {
-      firstDocumentAt_ = aNow;
+}
+
+void FeedClient::TakeDocument(const FeedReply& aReply, TimePoint aNow)
+{
+  if (aReply.version_ > toldVersion_) {
+    if (toldVersion_ <= version_) {
+      missingSince_ = aNow;
     }
-    version_ = aReply.version_;
-    // The next newer one is missing since now, not since the one before it.
-    missingSince_ = aNow;
-    listener_.OnFeedDocument(version_, *aReply.text_, aNow);
+    toldVersion_ = aReply.version_;
   }
-  for (const std::string& control : aReply.controls_) {
-    Ask(control, aNow);
+  if (aReply.packedText_ == nullptr || aReply.version_ <= version_) {
+    return;
+  }
+  const auto text =
+    Decompress(*aReply.packedText_, settings_.maxDocumentBytes_);
+  if (!text.ok()) {
+    LogLine(LogLevel::Error, "document_unreadable")
+      .Add("version", aReply.version_)
+      .Add("error", text.status());
+    return;
   }
+  if (version_.Value() == 0) {
+    firstDocumentAt_ = aNow;
+  }
+  version_ = aReply.version_;
+  // The next newer one is missing since now, not since the one before it.
+  missingSince_ = aNow;
+  listener_.OnFeedDocument(version_, *text, aNow);
+}
+
+void FeedClient::TellEntries(TimePoint aNow)
+{
   uint32_t entries = 0;
+  bool isComplete = false;
   for (const auto& [endpoint, source] : sources_) {
-    entries = std::max(entries, source.entries_);
+    if (IsLive(source, aNow)) {
+      entries = std::max(entries, source.entries_);
+      isComplete = isComplete || source.hasAllEntries_;
+    }
   }
-  listener_.OnFeedEntries(entries, aNow);
+  listener_.OnFeedEntries(entries, isComplete, aNow);
 }
 
 void FeedClient::NoteLoss(const std::string& aEndpoint,
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -3,6 +3,7 @@
 
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
+#include "policy/ZoneMap.h"
 
 #include <functional>
 #include <map>
@@ -12,9 +13,12 @@
 
 struct FeedClientSettings
 {
-  /// Availability zone of this instance and region of each zone.
-  ZoneName zone_;
-  std::map<ZoneName, std::string> regions_;
+  /// Where this instance is.
+  ZoneMap zones_;
+  /// A control instance follows all others and leaves documents to the log.
+  bool isControl_ = false;
+  /// Endpoint of this instance's own frames, which is not asked.
+  std::string ownEndpoint_;
   /// Endpoints of frames of control instances to begin with.
   std::vector<std::string> seeds_;
   /// How long a source may keep a question until there is news: the nearest
@@ -35,6 +39,14 @@
   /// another source tells of for this long, that one is asked for it: far below
   /// the seconds within which a document must be in force.
   milliseconds textTimeout_{ 500 };
+  /// Changes of servers come from the nearest source. When what another one
+  /// knows is still missing after this long, that one is asked: several times
+  /// the time in which control instances hear from each other, and together
+  /// with farWait_ well below the seconds within which a draining server must
+  /// be left alone.
+  milliseconds serversTimeout_{ 300 };
+  /// Largest document, in bytes.
+  size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
   /// A source that no other names and that has not answered for this long is
   /// not asked any more.
   milliseconds forgetAfter_{ 30000 };
@@ -53,12 +65,17 @@
   virtual void OnFeedServers(const ServerDirectory& aDirectory,
                              TimePoint aNow) = 0;
   /// @param aEntries entry instances that ask the same sources.
-  virtual void OnFeedEntries(uint32_t aEntries, TimePoint aNow) = 0;
+  /// @param aIsComplete false while there may be more, as the sources have just
+  /// started to count.
+  virtual void OnFeedEntries(uint32_t aEntries,
+                             bool aIsComplete,
+                             TimePoint aNow) = 0;
 };
 
-/// The side of an entry instance: asks every control instance for news, each by
-/// a question that waits there, and joins what they say. Any one of them is
-/// enough to go on. Runs on worker 0 of the pool.
+/// Asks every control instance for news, each by a question that waits there,
+/// and joins what they say. An entry instance takes documents and changes of
+/// servers from the nearest one, and from another what the nearest lacks; any
+/// one of them is enough to go on. Runs on worker 0 of the pool.
 class FeedClient
 {
 public:
@@ -92,7 +109,10 @@
     TimePoint namedAt_{};
     TimePoint renewalsAt_{};
     uint32_t entries_ = 0;
-    ZoneName zone_;
+    bool hasAllEntries_ = false;
+    ZoneDistance distance_ = ZoneDistance::Far;
+    /// Since when it knows changes of servers that are missing here, or max().
+    TimePoint lacksServersSince_ = TimePoint::max();
     /// The document that it has applied.
     DocumentVersion version_;
     bool hasAnswered_ = false;
@@ -107,11 +127,21 @@
   /// Chooses who brings documents: the nearest, or another one when it has not
   /// brought what others tell of.
   void ChooseTextSource(TimePoint aNow);
-  /// @return 0 for a source in this instance's zone, more for farther ones.
-  int DistanceTo(const Source& aSource) const;
+  /// @return whether the next question to a source asks for changed servers.
+  bool WantsServers(const Source& aSource, TimePoint aNow) const;
+  FeedRequest MakeRequest(const Source& aSource, TimePoint aNow);
   void Ask(const std::string& aEndpoint, TimePoint aNow);
   boost::asio::awaitable<void> Follow(std::string aEndpoint);
-  void Take(Source& aSource, const FeedReply& aReply, TimePoint aNow);
+  void Take(Source& aSource,
+            const FeedRequest& aRequest,
+            const FeedReply& aReply,
+            TimePoint aNow);
+  void TakeServers(Source& aSource,
+                   const FeedRequest& aRequest,
+                   const FeedReply& aReply,
+                   TimePoint aNow);
+  void TakeDocument(const FeedReply& aReply, TimePoint aNow);
+  void TellEntries(TimePoint aNow);
   void NoteLoss(const std::string& aEndpoint,
                 Source& aSource,
                 const absl::Status& aStatus,
@@ -122,6 +152,8 @@
   boost::asio::io_context& context_;
   FeedListener& listener_;
   ServerDirectory directory_;
+  /// Whether a source has told its servers.
+  bool hasServers_ = false;
   DocumentVersion version_;
   TimePoint firstDocumentAt_ = TimePoint::max();
   /// The newest version that a source told of, and since when it is missing.
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -47,7 +47,9 @@
                                          Millis32(aRequest.wait_),
                                          aRequest.wantsText_,
                                          aRequest.wantsRenewals_,
-                                         aRequest.knownControls_));
+                                         aRequest.knownControls_,
+                                         aRequest.wantsServers_,
+                                         aRequest.isControl_));
   return TakeBytes(builder);
 }
 
@@ -63,7 +65,9 @@
                       milliseconds((*root)->wait_ms()),
                       (*root)->wants_text(),
                       (*root)->wants_renewals(),
-                      (*root)->known_controls() };
+                      (*root)->known_controls(),
+                      (*root)->wants_servers(),
+                      (*root)->is_control() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -95,9 +99,11 @@
       builder, id, renewal.sequence_, Millis32(renewal.age_)));
   }
   const auto controls = builder.CreateVectorOfStrings(aReply.controls_);
-  flatbuffers::Offset<flatbuffers::String> text;
-  if (aReply.text_ != nullptr) {
-    text = builder.CreateString(*aReply.text_);
+  flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text;
+  if (aReply.packedText_ != nullptr) {
+    text = builder.CreateVector(
+      reinterpret_cast<const uint8_t*>(aReply.packedText_->data()),
+      aReply.packedText_->size());
   }
   const auto zone = builder.CreateString(aReply.zone_.Value());
   const auto serverList = builder.CreateVector(servers);
@@ -112,7 +118,10 @@
                                        aReply.controlsNumber_,
                                        controls,
                                        aReply.entries_,
-                                       zone));
+                                       aReply.hasAllEntries_,
+                                       zone,
+                                       aReply.digest_,
+                                       aReply.revision_));
   return TakeBytes(builder);
 }
 
@@ -126,8 +135,9 @@
   reply.source_ = FeedSourceId((*root)->source());
   reply.cursor_ = (*root)->cursor();
   reply.version_ = DocumentVersion((*root)->version());
-  if ((*root)->text() != nullptr) {
-    reply.text_ = std::make_shared<const std::string>((*root)->text()->str());
+  if (const auto* text = (*root)->text()) {
+    reply.packedText_ = std::make_shared<const std::string>(
+      reinterpret_cast<const char*>(text->data()), text->size());
   }
   for (const wire::FeedServer* row : *(*root)->servers()) {
     reply.servers_.push_back(FromWire(*row));
@@ -142,7 +152,10 @@
   }
   reply.entries_ = (*root)->entries();
   reply.controlsNumber_ = (*root)->controls_number();
+  reply.hasAllEntries_ = (*root)->has_all_entries();
   reply.zone_ = ZoneName(ToText((*root)->zone()));
+  reply.digest_ = (*root)->digest();
+  reply.revision_ = (*root)->revision();
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -15,7 +15,7 @@
 /// told apart.
 using FeedSourceId = StrongId<struct FeedSourceIdTag, uint64_t>;
 
-/// An entry instance's question for news.
+/// A question for news.
 struct FeedRequest
 {
   FeedSourceId source_;
@@ -28,6 +28,11 @@
   bool wantsRenewals_ = true;
   /// Number of the list of control instances that the asker knows from here.
   uint64_t knownControls_ = 0;
+  /// Whether servers that have changed are wanted; else only their digest.
+  bool wantsServers_ = true;
+  /// The asker is a control instance: it wants what servers told the source
+  /// itself, and does not count as an entry instance.
+  bool isControl_ = false;
 };
 
 /// A backend server and how long ago it was heard.
@@ -50,8 +55,8 @@
   FeedSourceId source_;
   uint64_t cursor_ = 0;
   DocumentVersion version_;
-  /// Null unless it is wanted and the asker knows an older version.
-  std::shared_ptr<const std::string> text_;
+  /// Compressed; null unless it is wanted and the asker knows an older version.
+  std::shared_ptr<const std::string> packedText_;
   std::vector<FeedServer> servers_;
   std::vector<FeedRenewal> renewals_;
   /// Number of the list of control instances; it changes with the list.
@@ -61,7 +66,12 @@
   std::vector<std::string> controls_;
   /// Entry instances that asked this source lately.
   uint32_t entries_ = 0;
+  /// Whether the source has run long enough to have been asked by all.
+  bool hasAllEntries_ = false;
   ZoneName zone_;
+  /// Digest of the source's directory and the revision that it is of.
+  uint64_t digest_ = 0;
+  uint64_t revision_ = 0;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -1,5 +1,6 @@
 #include "feed/FeedSource.h"
 
+#include "core/Compression.h"
 #include "core/Log.h"
 #include "core/Metrics.h"
 
@@ -16,8 +17,11 @@
 
 /// An entry instance that has not asked for this long is not counted any more.
 /// It may be cut off and still use its part of what is shared, so this lies
-/// above the window of the retry budget.
-constexpr seconds kEntryMemory{ 12 };
+/// above the window of the retry budget and usual partitions.
+constexpr seconds kEntryMemory{ 30 };
+/// A source that has run for this long was asked by all that reach it: longer
+/// than the longest wait of a question and the pause after a failed one.
+constexpr seconds kFirstCount{ 5 };
 /// News of servers waits this long for more, so that one answer tells many:
 /// when an index is cut anew, hundreds change within a second. Far below the
 /// seconds within which a draining server must be left alone.
@@ -38,8 +42,10 @@
 FeedSource::FeedSource(ZoneName aZone,
                        FrameTransport& aFrames,
                        Metrics& aMetrics,
-                       uint64_t aSeed)
+                       uint64_t aSeed,
+                       TimePoint aNow)
   : id_(aSeed | 1)
+  , startedAt_(aNow)
   , zone_(std::move(aZone))
   , questions_(aMetrics.Counter("foxtail_feed_questions_total",
                                 "Questions of entry instances for news"))
@@ -57,8 +63,10 @@
   const std::lock_guard lock(mutex_);
   const DirectoryVerdict verdict = directory_.Apply(aAnnouncement, aNow);
   const bool isForgotten = directory_.Forget(aNow);
-  if (verdict == DirectoryVerdict::Changed || isForgotten) {
-    WakeAll();
+  if (verdict == DirectoryVerdict::Changed) {
+    NoteOwnNews(aAnnouncement.id_);
+  } else if (isForgotten) {
+    Wake();
   }
   return verdict;
 }
@@ -70,21 +78,49 @@
   const std::lock_guard lock(mutex_);
   const DirectoryVerdict verdict = directory_.Leave(aId, aStartedAtMs, aNow);
   if (verdict == DirectoryVerdict::Changed) {
-    WakeAll();
+    NoteOwnNews(aId);
   }
   return verdict;
 }
 
+void FeedSource::NoteOwnNews(const BackendId& aId)
+{
+  fromPeers_.erase(aId);
+  ownRevision_ = directory_.ChangeRevision();
+  Wake();
+}
+
+void FeedSource::OnPeerServers(const ServerDirectory& aDirectory,
+                               TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  const uint64_t before = directory_.ChangeRevision();
+  for (const auto& [id, row] : aDirectory.Rows()) {
+    const auto verdict = directory_.Apply(row.announcement_, row.heardAt_);
+    if (verdict == DirectoryVerdict::Changed) {
+      fromPeers_.insert(id);
+    }
+  }
+  directory_.Forget(aNow);
+  std::erase_if(fromPeers_, [this](const BackendId& aId) {
+    return directory_.Find(aId) == nullptr;
+  });
+  if (directory_.ChangeRevision() != before) {
+    Wake();
+  }
+}
+
 void FeedSource::OnDocument(DocumentVersion aVersion,
                             std::shared_ptr<const std::string> aText)
 {
+  auto packed = std::make_shared<const std::string>(Compress(*aText));
   const std::lock_guard lock(mutex_);
   if (aVersion <= version_) {
     return;
   }
   version_ = aVersion;
-  text_ = std::move(aText);
-  WakeAll();
+  packedText_ = std::move(packed);
+  Wake();
 }
 
 void FeedSource::OnControls(std::vector<std::string> aControls)
@@ -95,7 +131,7 @@
   }
   controls_ = std::move(aControls);
   ++controlsNumber_;
-  WakeAll();
+  Wake();
 }
 
 uint32_t FeedSource::Entries(TimePoint aNow)
@@ -130,11 +166,13 @@
   std::shared_ptr<Timer> timer;
   {
     const std::lock_guard lock(mutex_);
-    entries_[aFrom] = Now();
-    if (!HasNews(*request)) {
+    if (!request->isControl_) {
+      entries_[aFrom] = Now();
+    }
+    if (!HasOtherNews(*request) && !HasNewsOfServers(*request)) {
       timer = std::make_shared<Timer>(executor,
                                       std::min(request->wait_, kLongestWait));
-      waiting_.insert(timer);
+      waiting_.emplace(timer, *request);
     }
   }
   boost::system::error_code ignored;
@@ -142,7 +180,7 @@
     co_await timer->async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
-  if (IsNewsOfServersOnly(*request)) {
+  if (MayGather(*request)) {
     Timer gather(executor, kGather);
     co_await gather.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
@@ -153,18 +191,24 @@
   co_return reply;
 }
 
-bool FeedSource::HasNews(const FeedRequest& aRequest) const
+bool FeedSource::HasOtherNews(const FeedRequest& aRequest) const
 {
-  return aRequest.source_ != id_ || aRequest.knownVersion_ < version_ ||
+  return aRequest.source_ != id_ ||
          aRequest.knownControls_ != controlsNumber_ ||
-         directory_.ChangeRevision() > aRequest.cursor_;
+         (aRequest.knownVersion_ < version_ && !aRequest.isControl_);
 }
 
-bool FeedSource::IsNewsOfServersOnly(const FeedRequest& aRequest)
+bool FeedSource::HasNewsOfServers(const FeedRequest& aRequest) const
+{
+  const uint64_t latest =
+    aRequest.isControl_ ? ownRevision_ : directory_.ChangeRevision();
+  return aRequest.wantsServers_ && latest > aRequest.cursor_;
+}
+
+bool FeedSource::MayGather(const FeedRequest& aRequest)
 {
   const std::lock_guard lock(mutex_);
-  return aRequest.source_ == id_ && aRequest.knownVersion_ >= version_ &&
-         directory_.ChangeRevision() > aRequest.cursor_;
+  return !HasOtherNews(aRequest) && HasNewsOfServers(aRequest);
 }
 
 FeedReply FeedSource::MakeReply(const FeedRequest& aRequest, TimePoint aNow)
@@ -172,14 +216,19 @@
   const uint64_t cursor = aRequest.source_ == id_ ? aRequest.cursor_ : 0;
   FeedReply reply;
   reply.source_ = id_;
-  reply.cursor_ = directory_.Revision();
+  reply.cursor_ = aRequest.wantsServers_ ? directory_.Revision() : cursor;
+  reply.digest_ = directory_.Digest();
+  reply.revision_ = directory_.ChangeRevision();
   reply.version_ = version_;
   reply.zone_ = zone_;
   if (aRequest.wantsText_ && aRequest.knownVersion_ < version_) {
-    reply.text_ = text_;
+    reply.packedText_ = packedText_;
   }
   for (const auto& [id, row] : directory_.Rows()) {
-    if (row.changedAt_ > cursor) {
+    // One that has just started may miss what its peers heard from others.
+    const bool isOthers =
+      aRequest.isControl_ && cursor != 0 && fromPeers_.contains(id);
+    if (aRequest.wantsServers_ && row.changedAt_ > cursor && !isOthers) {
       reply.servers_.push_back({ row.announcement_, AgeOf(row, aNow) });
     } else if (aRequest.wantsRenewals_ && AgeOf(row, aNow) < kRenewalMemory) {
       reply.renewals_.push_back(
@@ -191,16 +240,21 @@
     reply.controls_ = controls_;
   }
   reply.entries_ = CountEntries(aNow);
+  reply.hasAllEntries_ = aNow - startedAt_ >= kFirstCount;
   return reply;
 }
 
-void FeedSource::WakeAll()
+void FeedSource::Wake()
 {
-  for (const auto& timer : waiting_) {
-    // A timer is its own executor's.
-    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
-  }
-  waiting_.clear();
+  std::erase_if(waiting_, [this](const auto& aRow) {
+    const auto& [timer, request] = aRow;
+    const bool isConcerned = HasOtherNews(request) || HasNewsOfServers(request);
+    if (isConcerned) {
+      // A timer is its own executor's.
+      asio::post(timer->get_executor(), [timer = timer] { timer->cancel(); });
+    }
+    return isConcerned;
+  });
 }
 
 } // namespace foxtail
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -10,15 +10,18 @@
 #include <map>
 #include <mutex>
 #include <prometheus/counter.h>
-#include <set>
+#include <unordered_set>
 
 namespace foxtail {
 
 class Metrics;
 
 /// The side of a control instance: takes announcements of backend servers and
-/// tells entry instances that ask of them, of the accepted document and of the
-/// other control instances. A question waits until there is news. Thread safe.
+/// tells those that ask of them, of the accepted document and of the other
+/// control instances. A question waits until there is news of what it asks for.
+/// Entry instances hear of all servers; control instances of those that spoke
+/// to this one, so that each announcement goes to each of them once. Thread
+/// safe.
 class FeedSource
 {
 public:
@@ -26,7 +29,8 @@
   FeedSource(ZoneName aZone,
              FrameTransport& aFrames,
              Metrics& aMetrics,
-             uint64_t aSeed);
+             uint64_t aSeed,
+             TimePoint aNow);
 
   /// Takes what a backend server says of itself.
   DirectoryVerdict OnAnnouncement(const ServerAnnouncement& aAnnouncement,
@@ -36,6 +40,11 @@
                            uint64_t aStartedAtMs,
                            TimePoint aNow);
 
+  /// Takes what another control instance heard.
+  ///
+  /// @param aDirectory all that is known from others.
+  void OnPeerServers(const ServerDirectory& aDirectory, TimePoint aNow);
+
   /// Takes the accepted document; versions never go back.
   void OnDocument(DocumentVersion aVersion,
                   std::shared_ptr<const std::string> aText);
@@ -49,23 +58,34 @@
   using Timer = boost::asio::steady_timer;
 
   boost::asio::awaitable<Frame> Answer(InstanceId aFrom, Frame aFrame);
-  bool HasNews(const FeedRequest& aRequest) const;
-  /// @return whether all that is new to the asker is of backend servers.
-  bool IsNewsOfServersOnly(const FeedRequest& aRequest);
+  /// @return whether there is news other than of backend servers.
+  bool HasOtherNews(const FeedRequest& aRequest) const;
+  bool HasNewsOfServers(const FeedRequest& aRequest) const;
+  /// @return whether to wait a little for more news of servers.
+  bool MayGather(const FeedRequest& aRequest);
+  /// Notes that a server told this instance something new.
+  void NoteOwnNews(const BackendId& aId);
   FeedReply MakeReply(const FeedRequest& aRequest, TimePoint aNow);
-  void WakeAll();
+  /// Ends the wait of the questions that there is news for.
+  void Wake();
   uint32_t CountEntries(TimePoint aNow);
 
   const FeedSourceId id_;
+  const TimePoint startedAt_;
   const ZoneName zone_;
   std::mutex mutex_;
   ServerDirectory directory_;
+  /// Servers of whose last change another control instance told, and revision
+  /// of the last change that a server told itself.
+  std::unordered_set<BackendId> fromPeers_;
+  uint64_t ownRevision_ = 0;
   DocumentVersion version_;
-  std::shared_ptr<const std::string> text_;
+  /// Compressed once for all that ask.
+  std::shared_ptr<const std::string> packedText_;
   std::vector<std::string> controls_;
   uint64_t controlsNumber_ = 0;
   std::map<InstanceId, TimePoint> entries_;
-  std::set<std::shared_ptr<Timer>> waiting_;
+  std::map<std::shared_ptr<Timer>, FeedRequest> waiting_;
   prometheus::Counter& questions_;
 };
 
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -37,7 +37,9 @@
     VT_WAIT_MS = 10,
     VT_WANTS_TEXT = 12,
     VT_WANTS_RENEWALS = 14,
-    VT_KNOWN_CONTROLS = 16
+    VT_KNOWN_CONTROLS = 16,
+    VT_WANTS_SERVERS = 18,
+    VT_IS_CONTROL = 20
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -60,6 +62,12 @@
   uint64_t known_controls() const {
     return GetField<uint64_t>(VT_KNOWN_CONTROLS, 0);
   }
+  bool wants_servers() const {
+    return GetField<uint8_t>(VT_WANTS_SERVERS, 0) != 0;
+  }
+  bool is_control() const {
+    return GetField<uint8_t>(VT_IS_CONTROL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -69,6 +77,8 @@
            VerifyField<uint8_t>(verifier, VT_WANTS_TEXT, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_RENEWALS, 1) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_CONTROLS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_SERVERS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_CONTROL, 1) &&
            verifier.EndTable();
   }
 };
@@ -98,6 +108,12 @@
   void add_known_controls(uint64_t known_controls) {
     fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_CONTROLS, known_controls, 0);
   }
+  void add_wants_servers(bool wants_servers) {
+    fbb_.AddElement<uint8_t>(FeedRequest::VT_WANTS_SERVERS, static_cast<uint8_t>(wants_servers), 0);
+  }
+  void add_is_control(bool is_control) {
+    fbb_.AddElement<uint8_t>(FeedRequest::VT_IS_CONTROL, static_cast<uint8_t>(is_control), 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -117,13 +133,17 @@
     uint32_t wait_ms = 0,
     bool wants_text = false,
     bool wants_renewals = false,
-    uint64_t known_controls = 0) {
+    uint64_t known_controls = 0,
+    bool wants_servers = false,
+    bool is_control = false) {
   FeedRequestBuilder builder_(_fbb);
   builder_.add_known_controls(known_controls);
   builder_.add_known_version(known_version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
   builder_.add_wait_ms(wait_ms);
+  builder_.add_is_control(is_control);
+  builder_.add_wants_servers(wants_servers);
   builder_.add_wants_renewals(wants_renewals);
   builder_.add_wants_text(wants_text);
   return builder_.Finish();
@@ -386,7 +406,10 @@
     VT_CONTROLS_NUMBER = 16,
     VT_CONTROLS = 18,
     VT_ENTRIES = 20,
-    VT_ZONE = 22
+    VT_HAS_ALL_ENTRIES = 22,
+    VT_ZONE = 24,
+    VT_DIGEST = 26,
+    VT_REVISION = 28
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -397,8 +420,8 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
-  const flatbuffers::String *text() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  const flatbuffers::Vector<uint8_t> *text() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEXT);
   }
   const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>> *>(VT_SERVERS);
@@ -415,16 +438,25 @@
   uint32_t entries() const {
     return GetField<uint32_t>(VT_ENTRIES, 0);
   }
+  bool has_all_entries() const {
+    return GetField<uint8_t>(VT_HAS_ALL_ENTRIES, 0) != 0;
+  }
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
   }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CURSOR, 8) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_TEXT) &&
-           verifier.VerifyString(text()) &&
+           verifier.VerifyVector(text()) &&
            VerifyOffsetRequired(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
@@ -436,8 +468,11 @@
            verifier.VerifyVector(controls()) &&
            verifier.VerifyVectorOfStrings(controls()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_ALL_ENTRIES, 1) &&
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -455,7 +490,7 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(FeedReply::VT_VERSION, version, 0);
   }
-  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+  void add_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text) {
     fbb_.AddOffset(FeedReply::VT_TEXT, text);
   }
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>>> servers) {
@@ -473,9 +508,18 @@
   void add_entries(uint32_t entries) {
     fbb_.AddElement<uint32_t>(FeedReply::VT_ENTRIES, entries, 0);
   }
+  void add_has_all_entries(bool has_all_entries) {
+    fbb_.AddElement<uint8_t>(FeedReply::VT_HAS_ALL_ENTRIES, static_cast<uint8_t>(has_all_entries), 0);
+  }
   void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
     fbb_.AddOffset(FeedReply::VT_ZONE, zone);
   }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_DIGEST, digest, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_REVISION, revision, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -495,14 +539,19 @@
     uint64_t source = 0,
     uint64_t cursor = 0,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>> renewals = 0,
     uint64_t controls_number = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls = 0,
     uint32_t entries = 0,
-    flatbuffers::Offset<flatbuffers::String> zone = 0) {
+    bool has_all_entries = false,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint64_t digest = 0,
+    uint64_t revision = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_digest(digest);
   builder_.add_controls_number(controls_number);
   builder_.add_version(version);
   builder_.add_cursor(cursor);
@@ -513,6 +562,7 @@
   builder_.add_renewals(renewals);
   builder_.add_servers(servers);
   builder_.add_text(text);
+  builder_.add_has_all_entries(has_all_entries);
   return builder_.Finish();
 }
 
@@ -521,14 +571,17 @@
     uint64_t source = 0,
     uint64_t cursor = 0,
     uint64_t version = 0,
-    const char *text = nullptr,
+    const std::vector<uint8_t> *text = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedServer>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>> *renewals = nullptr,
     uint64_t controls_number = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *controls = nullptr,
     uint32_t entries = 0,
-    const char *zone = nullptr) {
-  auto text__ = text ? _fbb.CreateString(text) : 0;
+    bool has_all_entries = false,
+    const char *zone = nullptr,
+    uint64_t digest = 0,
+    uint64_t revision = 0) {
+  auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
   auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
@@ -544,7 +597,10 @@
       controls_number,
       controls__,
       entries,
-      zone__);
+      has_all_entries,
+      zone__,
+      digest,
+      revision);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -5,8 +5,8 @@
 #include "core/Time.h"
 #include "policy/ExtraBudget.h"
 #include "policy/ReplicaRank.h"
+#include "policy/ZoneMap.h"
 
-#include <map>
 #include <string>
 
 namespace foxtail {
@@ -38,9 +38,8 @@
 struct ForwardSettings
 {
   InstanceId instance_;
-  ZoneName zone_;
-  /// Region of each availability zone.
-  std::map<ZoneName, std::string> regions_;
+  /// Where this instance is.
+  ZoneMap zones_;
   LinkSettings links_;
   ReplicaRankSettings rank_;
   ExtraBudgetSettings extra_;
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -130,7 +130,7 @@
   nextTrafficAt_ = aNow + kTrafficInterval;
   LogLine line(LogLevel::Info, "traffic");
   line.Add("begun", begun_).Add("backend_servers", pools_.Size());
-  for (const auto& row : EnumTable<ServerDistance>::kRows) {
+  for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     line.Add("sent_" + std::string(row.name_), pools_.Sent(row.value_));
   }
 }
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -50,6 +50,7 @@
   const Vocabulary& Words() const { return vocabulary_; }
   const ForwardSettings& Settings() const { return settings_; }
   size_t Servers() const { return pools_.Size(); }
+  uint32_t Instances() const { return instances_; }
 
 private:
   struct TargetVisitor;
--- a/src/forward/ServerPool.cpp
+++ b/src/forward/ServerPool.cpp
@@ -21,14 +21,14 @@
 constexpr milliseconds kLongestSuspectPause{ 2000 };
 
 /// Round trips that are assumed before the first connect.
-Duration AssumedRoundTrip(ServerDistance aDistance)
+Duration AssumedRoundTrip(ZoneDistance aDistance)
 {
   switch (aDistance) {
-    case ServerDistance::SameZone:
+    case ZoneDistance::Same:
       return milliseconds(1);
-    case ServerDistance::SameRegion:
+    case ZoneDistance::Near:
       return milliseconds(2);
-    case ServerDistance::OtherRegion:
+    case ZoneDistance::Far:
       return milliseconds(16);
   }
   return milliseconds(1);
@@ -53,7 +53,7 @@
                        "Connections closed to end abandoned work"))
   , sent_{}
 {
-  for (const auto& row : EnumTable<ServerDistance>::kRows) {
+  for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     sent_[static_cast<size_t>(row.value_)] =
       &aMetrics.Counter("foxtail_forward_sent_total",
                         "Requests written to backend servers",
@@ -67,7 +67,7 @@
                        ServerPoolMetrics& aMetrics,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
-                       ServerDistance aDistance,
+                       ZoneDistance aDistance,
                        TimePoint aNow)
   : context_(aContext)
   , settings_(aSettings)
@@ -185,7 +185,7 @@
   state.failureShare_ =
     Faded(failureShare_, 0, aNow - failureAt_, kFailureHalfLife);
   state.isWarmingUp_ = aNow < warmUntil_;
-  state.isOtherRegion_ = distance_ == ServerDistance::OtherRegion;
+  state.isOtherRegion_ = distance_ == ZoneDistance::Far;
   state.isSuspect_ = aNow < suspectUntil_;
   return state;
 }
--- a/src/forward/ServerPool.h
+++ b/src/forward/ServerPool.h
@@ -5,6 +5,7 @@
 #include "policy/ReplicaRank.h"
 #include "policy/ServerDirectory.h"
 #include "policy/ServerPace.h"
+#include "policy/ZoneMap.h"
 
 #include <deque>
 #include <prometheus/counter.h>
@@ -14,24 +15,6 @@
 
 class Metrics;
 
-/// How far a backend server is from this instance.
-enum class ServerDistance
-{
-  SameZone,
-  SameRegion,
-  OtherRegion,
-};
-
-template<>
-struct EnumTable<ServerDistance>
-{
-  static constexpr std::array<EnumName<ServerDistance>, 3> kRows{ {
-    { ServerDistance::SameZone, "same_zone" },
-    { ServerDistance::SameRegion, "same_region" },
-    { ServerDistance::OtherRegion, "other_region" },
-  } };
-};
-
 /// Counters that the pools of one instance share.
 struct ServerPoolMetrics
 {
@@ -41,8 +24,7 @@
   prometheus::Counter& connectFailures_;
   prometheus::Counter& closedAbandoned_;
   /// Requests written, by the server's distance.
-  std::array<prometheus::Counter*, EnumTable<ServerDistance>::kRows.size()>
-    sent_;
+  std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
 };
 
 /// This instance's connections to one backend server and what their use shows
@@ -59,7 +41,7 @@
              ServerPoolMetrics& aMetrics,
              const ServerAnnouncement& aAnnouncement,
              boost::asio::ip::tcp::endpoint aEndpoint,
-             ServerDistance aDistance,
+             ZoneDistance aDistance,
              TimePoint aNow);
   ~ServerPool() override;
   ServerPool(const ServerPool&) = delete;
@@ -118,7 +100,7 @@
   ServerPoolMetrics& metrics_;
   ServerAnnouncement announcement_;
   const boost::asio::ip::tcp::endpoint endpoint_;
-  const ServerDistance distance_;
+  const ZoneDistance distance_;
   uint32_t maxLinks_ = 1;
   bool isRetired_ = false;
 
--- a/src/forward/ServerPools.cpp
+++ b/src/forward/ServerPools.cpp
@@ -125,20 +125,6 @@
   std::erase_if(retired_, [](const auto& aPool) { return aPool->IsEmpty(); });
 }
 
-ServerDistance ServerPools::DistanceTo(const ZoneName& aZone) const
-{
-  if (aZone == settings_.zone_) {
-    return ServerDistance::SameZone;
-  }
-  const auto own = settings_.regions_.find(settings_.zone_);
-  const auto other = settings_.regions_.find(aZone);
-  const bool isSameRegion = own != settings_.regions_.end() &&
-                            other != settings_.regions_.end() &&
-                            own->second == other->second;
-  return isSameRegion ? ServerDistance::SameRegion
-                      : ServerDistance::OtherRegion;
-}
-
 void ServerPools::Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow)
 {
   const auto endpoint = ToEndpoint(aAnnouncement.address_);
@@ -148,14 +134,15 @@
       .Add("address", aAnnouncement.address_);
     return;
   }
-  auto pool = std::make_shared<ServerPool>(context_,
-                                           settings_.links_,
-                                           vocabulary_,
-                                           metrics_,
-                                           aAnnouncement,
-                                           *endpoint,
-                                           DistanceTo(aAnnouncement.zone_),
-                                           aNow);
+  auto pool = std::make_shared<ServerPool>(
+    context_,
+    settings_.links_,
+    vocabulary_,
+    metrics_,
+    aAnnouncement,
+    *endpoint,
+    settings_.zones_.DistanceTo(aAnnouncement.zone_),
+    aNow);
   const auto limit = maxLinks_.find(aAnnouncement.service_);
   pool->SetMaxLinks(limit == maxLinks_.end() ? kUnknownMaxLinks
                                              : limit->second);
--- a/src/forward/ServerPools.h
+++ b/src/forward/ServerPools.h
@@ -58,14 +58,13 @@
 
   size_t Size() const { return byId_.size(); }
   /// @return requests written so far to servers at a distance.
-  uint64_t Sent(ServerDistance aDistance) const
+  uint64_t Sent(ZoneDistance aDistance) const
   {
     return static_cast<uint64_t>(
       metrics_.sent_[static_cast<size_t>(aDistance)]->Value());
   }
 
 private:
-  ServerDistance DistanceTo(const ZoneName& aZone) const;
   void Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow);
   void Remove(const std::shared_ptr<ServerPool>& aPool, TimePoint aNow);
 
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -58,9 +58,9 @@
   EdgeSettings settings;
   settings.instance_ = InstanceId("entry-1");
   settings.zone_ = ZoneName("zone-a");
-  settings.forward_.zone_ = settings.zone_;
+  settings.forward_.zones_ = ZoneMap(settings.zone_, {});
   settings.frames_ = FramesOf("entry-1");
-  settings.feed_.zone_ = settings.zone_;
+  settings.feed_.zones_ = settings.forward_.zones_;
   settings.feed_.seeds_ = { "127.0.0.1:" + std::to_string(aControlPort) };
   settings.drain_ = milliseconds(300);
   settings.stopTimeout_ = seconds(3);
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -24,6 +24,15 @@
   return announcement;
 }
 
+/// One of many servers, at an address of its own.
+ServerAnnouncement Numbered(int aNumber)
+{
+  ServerAnnouncement announcement =
+    Announce(("i-" + std::to_string(aNumber)).c_str(), 1);
+  announcement.address_ = "127.0.0.1:" + std::to_string(1000 + aNumber);
+  return announcement;
+}
+
 std::shared_ptr<const std::string> TextOf(const std::string& aText)
 {
   return std::make_shared<const std::string>(aText);
@@ -42,10 +51,12 @@
 class Source
 {
 public:
-  explicit Source(const char* aName, const char* aZone)
+  Source(const char* aName,
+         const char* aZone,
+         TimePoint aStartedAt = Now() - seconds(60))
     : pool_(1)
     , frames_(FramesOf(aName), pool_)
-    , feed_(ZoneName(aZone), frames_, metrics_, 77)
+    , feed_(ZoneName(aZone), frames_, metrics_, 77, aStartedAt)
   {
     frames_.Start().IgnoreError();
     pool_.Start();
@@ -66,6 +77,41 @@
   FeedSource feed_;
 };
 
+/// What a control instance hears from another one.
+class Peer : private FeedListener
+{
+public:
+  Peer(Source& aOwn, std::string aOther)
+    : own_(aOwn)
+    , feed_(SettingsOf(std::move(aOther)),
+            aOwn.frames_,
+            aOwn.pool_.Context(0),
+            *this)
+  {
+    boost::asio::post(aOwn.pool_.Context(0), [this] { feed_.Start(Now()); });
+  }
+
+private:
+  static FeedClientSettings SettingsOf(std::string aOther)
+  {
+    FeedClientSettings settings;
+    settings.isControl_ = true;
+    settings.seeds_ = { std::move(aOther) };
+    return settings;
+  }
+  void OnFeedDocument(DocumentVersion, const std::string&, TimePoint) override
+  {
+  }
+  void OnFeedServers(const ServerDirectory& aDirectory, TimePoint aNow) override
+  {
+    own_.feed_.OnPeerServers(aDirectory, aNow);
+  }
+  void OnFeedEntries(uint32_t, bool, TimePoint) override {}
+
+  Source& own_;
+  FeedClient feed_;
+};
+
 /// An entry instance's side.
 class Client : private FeedListener
 {
@@ -106,14 +152,15 @@
 
   std::vector<std::string> texts_;
   uint32_t entries_ = 0;
+  bool areEntriesComplete_ = false;
 
 private:
   static FeedClientSettings SettingsOf(std::vector<std::string> aSeeds)
   {
     FeedClientSettings settings;
-    settings.zone_ = ZoneName("zone-a");
-    settings.regions_ = { { ZoneName("zone-a"), "north" },
-                          { ZoneName("zone-b"), "south" } };
+    settings.zones_ = ZoneMap(ZoneName("zone-a"),
+                              { { "north", { ZoneName("zone-a") } },
+                                { "south", { ZoneName("zone-b") } } });
     settings.seeds_ = std::move(aSeeds);
     return settings;
   }
@@ -124,9 +171,10 @@
     texts_.push_back(aText);
   }
   void OnFeedServers(const ServerDirectory&, TimePoint) override {}
-  void OnFeedEntries(uint32_t aEntries, TimePoint) override
+  void OnFeedEntries(uint32_t aEntries, bool aIsComplete, TimePoint) override
   {
     entries_ = aEntries;
+    areEntriesComplete_ = aIsComplete;
   }
 
 public:
@@ -143,7 +191,10 @@
   reply.source_ = FeedSourceId(5);
   reply.cursor_ = 9;
   reply.version_ = DocumentVersion(3);
-  reply.text_ = TextOf("routes");
+  reply.packedText_ = TextOf("routes");
+  reply.digest_ = 12;
+  reply.revision_ = 7;
+  reply.hasAllEntries_ = true;
   reply.servers_ = { { Announce("i-1", 4), milliseconds(20) } };
   reply.renewals_ = { { BackendId("i-2"), 8, milliseconds(30) } };
   reply.controls_ = { "127.0.0.1:1" };
@@ -151,7 +202,10 @@
   reply.zone_ = ZoneName("zone-a");
   const auto decoded = DecodeFeedReply(EncodeFeedReply(reply));
   REQUIRE(decoded.ok());
-  CHECK(*decoded->text_ == "routes");
+  CHECK(*decoded->packedText_ == "routes");
+  CHECK(decoded->digest_ == 12);
+  CHECK(decoded->revision_ == 7);
+  CHECK(decoded->hasAllEntries_);
   CHECK(decoded->servers_[0].announcement_.sequence_ == 4);
   CHECK(decoded->renewals_[0].id_ == BackendId("i-2"));
   CHECK(decoded->controls_ == reply.controls_);
@@ -297,3 +351,94 @@
   CHECK(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
   CHECK(client.On([&] { return client.feed_.LiveSources(Now()); }) == 1);
 }
+
+TEST_CASE("feed: changes of servers come from the nearest source only")
+{
+  Source near("control-1", "zone-a");
+  Source far("control-2", "zone-b");
+  Client client({ near.Endpoint(), far.Endpoint() });
+  near.feed_.OnDocument(DocumentVersion(1), TextOf("first"));
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 2; }));
+  constexpr int kServers = 200;
+  ServerDirectory all;
+  for (int i = 0; i < kServers; ++i) {
+    all.Apply(Numbered(i), Now());
+    near.feed_.OnAnnouncement(Numbered(i), Now());
+  }
+  far.feed_.OnPeerServers(all, Now());
+  CHECK(client.WaitFor(
+    [&] { return client.feed_.Directory().Rows().size() == kServers; }));
+  // Longer than a question waits at the far one.
+  std::this_thread::sleep_for(milliseconds(2200));
+  constexpr uint64_t kLeastBytesOfServer = 60;
+  CHECK(near.frames_.BytesSent(FrameKind::FeedReply) >
+        kServers * kLeastBytesOfServer);
+  CHECK(far.frames_.BytesSent(FrameKind::FeedReply) <
+        kServers * kLeastBytesOfServer / 4);
+}
+
+TEST_CASE("feed: a change that only a far source knows comes in time")
+{
+  Source near("control-1", "zone-a");
+  Source far("control-2", "zone-b");
+  Client client({ near.Endpoint(), far.Endpoint() });
+  near.feed_.OnDocument(DocumentVersion(1), TextOf("first"));
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 2; }));
+  // The worst moment: a question has just begun to wait there.
+  std::this_thread::sleep_for(milliseconds(100));
+  const TimePoint begin = Now();
+  far.feed_.OnAnnouncement(Announce("i-1", 1), Now());
+  CHECK(client.WaitFor([&] {
+    return client.feed_.Directory().Find(BackendId("i-1")) != nullptr;
+  }));
+  // A draining server must be left alone 3 s after it was heard.
+  CHECK(Now() - begin < milliseconds(2800));
+}
+
+TEST_CASE("feed: control instances tell each other what servers told them")
+{
+  Source one("control-1", "zone-a");
+  Source two("control-2", "zone-b");
+  Peer first(one, two.Endpoint());
+  Peer second(two, one.Endpoint());
+  Client client({ one.Endpoint() });
+  const auto phaseAt = [&] {
+    const DirectoryRow* row = client.feed_.Directory().Find(BackendId("i-1"));
+    return row == nullptr ? ServerPhase::Gone : row->announcement_.phase_;
+  };
+  two.feed_.OnAnnouncement(Announce("i-1", 4), Now());
+  CHECK(client.WaitFor([&] { return phaseAt() == ServerPhase::Ready; }));
+  // What it says later to the other one is no news, and goes nowhere.
+  one.feed_.OnAnnouncement(Announce("i-1", 9), Now());
+  two.feed_.OnLeave(BackendId("i-1"), 1, Now());
+  CHECK(client.WaitFor([&] { return phaseAt() == ServerPhase::Gone; }));
+  // Control instances are no entry instances.
+  CHECK(one.feed_.Entries(Now()) == 1);
+  CHECK(two.feed_.Entries(Now()) <= 1);
+}
+
+TEST_CASE("feed: a source that has just started does not know all that ask")
+{
+  Source old("control-1", "zone-a");
+  Client client({ old.Endpoint() });
+  CHECK(client.WaitFor([&] { return client.entries_ == 1; }));
+  CHECK(client.On([&] { return client.areEntriesComplete_; }));
+  Source young("control-2", "zone-a", Now());
+  Client other({ young.Endpoint() });
+  CHECK(other.WaitFor([&] { return other.entries_ == 1; }));
+  CHECK_FALSE(other.On([&] { return other.areEntriesComplete_; }));
+}
+
+TEST_CASE("feed: a large document travels compressed")
+{
+  Source source("control-1", "zone-a");
+  Client client({ source.Endpoint() });
+  std::string text;
+  for (int i = 0; i < 3000; ++i) {
+    text += R"({"name":"route-)" + std::to_string(i) + R"(","timeout":2500})";
+  }
+  source.feed_.OnDocument(DocumentVersion(1), TextOf(text));
+  CHECK(client.WaitFor([&] { return client.texts_.size() == 1; }));
+  CHECK(client.On([&] { return client.texts_.back(); }) == text);
+  CHECK(source.frames_.BytesSent(FrameKind::FeedReply) < text.size() / 4);
+}
--- a/tests/forward/RouteTest.cpp
+++ b/tests/forward/RouteTest.cpp
@@ -40,7 +40,7 @@
   CHECK(IsEnumTableOrdered<ExchangeEnd>());
   CHECK(IsEnumTableOrdered<ExchangeFault>());
   CHECK(IsEnumTableOrdered<AnswerSource>());
-  CHECK(IsEnumTableOrdered<ServerDistance>());
+  CHECK(IsEnumTableOrdered<ZoneDistance>());
 }
 
 TEST_CASE("routes: the host and the longest prefix choose")
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -190,7 +190,8 @@
   const auto boot = DecodeBootSettings(text);
   REQUIRE(boot.ok());
   CHECK(boot->instance_ == InstanceId("core-a-1"));
-  CHECK(boot->regions_.at(ZoneName("b")) == "south");
+  CHECK(boot->zones_.DistanceTo(ZoneName("a")) == ZoneDistance::Same);
+  CHECK(boot->zones_.DistanceTo(ZoneName("b")) == ZoneDistance::Far);
   CHECK(boot->control_.port() == 8224);
   CHECK(boot->callers_.port() == 0);
   CHECK(boot->framesPort_ == 7740);
