--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -202,6 +202,12 @@
   CHECK(boot->stopGrace_ == seconds(8));
   CHECK(boot->extraWindow_ == seconds(5));
   CHECK(boot->extraSlack_ == doctest::Approx(12));
+  const auto parts =
+    DecodeBootSettings(With(text, "\"grace_s\":8", "\"grace_s\":6.5"));
+  REQUIRE(parts.ok());
+  CHECK(parts->stopGrace_ == milliseconds(6500));
+  CHECK_FALSE(
+    DecodeBootSettings(With(text, "\"grace_s\":8", "\"grace_s\":-1")).ok());
   CHECK_FALSE(DecodeBootSettings("{}").ok());
   CHECK_FALSE(DecodeBootSettings(With(text, "[7740,7755]", "[]")).ok());
   CHECK_FALSE(
