Remember what a backend server says of its pace

An instance that sends two requests a second to a shard used such a report for 0.2 s only and so met the slow server again and again.

Change: a report of 8 times or more fades by half in 2 s, a lower one in 0.25 s, as half of the reports of 4 times were over by then.

--- a/src/forward/ServerPool.cpp
+++ b/src/forward/ServerPool.cpp
@@ -177,7 +177,6 @@
   state.inFlight_ = static_cast<uint32_t>(sentTimes_.size() + waiting_.size());
   if (load_ && aNow - loadAt_ < kLoadIsRecent) {
     state.reported_ = load_->running_ + load_->waiting_;
-    state.slowness_ = std::max(state.slowness_, load_->pace_);
   }
   if (!sentTimes_.empty()) {
     state.oldestWait_ = aNow - *sentTimes_.begin();
@@ -272,6 +271,7 @@
   if (aLink.Load()) {
     load_ = aLink.Load();
     loadAt_ = aNow;
+    pace_.OnReported(load_->pace_, aNow);
   }
   NoteEnd(*aExchange, aNow);
   if (aLink.State() == LinkState::Closed) {
--- a/src/policy/ServerPace.cpp
+++ b/src/policy/ServerPace.cpp
@@ -30,19 +30,48 @@
   }
 }
 
-double ServerPace::Slowness(TimePoint aNow) const
+void ServerPace::OnReported(double aRatio, TimePoint aNow)
+{
+  const double known = ReportedLog(aNow);
+  const double reported =
+    std::log(std::clamp(aRatio, kLeastRatio, kGreatestRatio));
+  // A single usual report of a server that was slow may be of work that it
+  // began before.
+  reportedLog_ =
+    reported >= known ? std::max(reported, 0.0) : (known + reported) / 2;
+  reportedAt_ = aNow;
+}
+
+double ServerPace::ReportedLog(TimePoint aNow) const
+{
+  const bool isLasting = reportedLog_ >= std::log(kLastingRatio);
+  const Duration halfLife = isLasting ? kLastingHalfLife : kNeighbourHalfLife;
+  const double halves = std::chrono::duration<double>(aNow - reportedAt_) /
+                        std::chrono::duration<double>(halfLife);
+  return reportedLog_ * std::exp2(-std::max(0.0, halves));
+}
+
+double ServerPace::LearnedLog(TimePoint aNow) const
 {
   const uint32_t doublings =
     episodes_ == 0 ? 0 : std::min(episodes_ - 1, kMaxDoublings);
   const auto halfLife = kFirstHalfLife * (1U << doublings);
   const double halves = std::chrono::duration<double>(aNow - at_) /
                         std::chrono::duration<double>(halfLife);
-  return std::exp(log_ * std::exp2(-std::max(0.0, halves)));
+  return log_ * std::exp2(-std::max(0.0, halves));
+}
+
+double ServerPace::Slowness(TimePoint aNow) const
+{
+  const double learned = LearnedLog(aNow);
+  const double reported = ReportedLog(aNow);
+  // What it says is news of trouble; that it says nothing is none of health.
+  return std::exp(reported > 0 ? std::max(learned, reported) : learned);
 }
 
 void ServerPace::Move(double aRatio, double aWeight, TimePoint aNow)
 {
-  const double known = std::log(Slowness(aNow));
+  const double known = LearnedLog(aNow);
   const double observed =
     std::log(std::clamp(aRatio, kLeastRatio, kGreatestRatio));
   log_ = known + (observed - known) * aWeight;
--- a/src/policy/ServerPace.h
+++ b/src/policy/ServerPace.h
@@ -7,7 +7,8 @@
 
 namespace foxtail {
 
-/// How slow a backend server is, learned from its replies. Servers pause for a
+/// How slow a backend server is, learned from its replies and from what it says
+/// of itself. Servers pause for a
 /// moment now and then: all requests that wait out one pause count as one slow
 /// episode, which is soon forgotten. Each further episode without a usual reply
 /// between is remembered twice as long, so that a server that is really slow is
@@ -23,6 +24,10 @@
   /// Takes a request that was given up after waiting this long.
   void OnGivenUp(double aRatio, TimePoint aSentAt, TimePoint aNow);
 
+  /// Takes what the server itself says with a reply: how long work takes there
+  /// now over the usual time.
+  void OnReported(double aRatio, TimePoint aNow);
+
   /// @return expected time over the usual time; 1 when nothing is known.
   double Slowness(TimePoint aNow) const;
 
@@ -38,7 +43,22 @@
   static constexpr milliseconds kFirstHalfLife{ 300 };
   static constexpr uint32_t kMaxDoublings = 4;
 
+  /// A reported ratio from here on is of a server that is slow for seconds; a
+  /// lower one of a neighbour on its machine, and is soon over.
+  static constexpr double kLastingRatio = 8;
+  /// Half of the reports of 4 times the usual were over after this, on a day
+  /// with 1,239 of them.
+  static constexpr milliseconds kNeighbourHalfLife{ 250 };
+  /// Servers that reported 12 times the usual did so for 8 s; long enough for
+  /// an instance that sends two requests a second, short enough to notice the
+  /// end.
+  static constexpr milliseconds kLastingHalfLife{ 2000 };
+
   void Move(double aRatio, double aWeight, TimePoint aNow);
+  /// @return the logarithm of what replies showed, faded.
+  double LearnedLog(TimePoint aNow) const;
+  /// @return the logarithm of what was reported, faded.
+  double ReportedLog(TimePoint aNow) const;
 
   /// Logarithm of the slowness, at at_.
   double log_ = 0;
@@ -47,6 +67,9 @@
   uint32_t episodes_ = 0;
   /// When the latest slow episode was noticed.
   TimePoint episodeAt_{};
+  /// Logarithm of what the server reported, at reportedAt_.
+  double reportedLog_ = 0;
+  TimePoint reportedAt_{};
 };
 
 } // namespace foxtail
--- a/tests/policy/ServerPaceTest.cpp
+++ b/tests/policy/ServerPaceTest.cpp
@@ -65,3 +65,45 @@
   pace.OnGivenUp(10, kStart, kStart + milliseconds(200));
   CHECK(pace.Slowness(kStart + milliseconds(200)) > 2);
 }
+
+// Pattern: a sixth of the servers work twelve times as long for eight seconds
+// and say so, and an instance asks each of them twice a second.
+TEST_CASE("pace: a server that says it is slow is left alone for seconds")
+{
+  ServerPace pace;
+  pace.OnReported(12, kStart);
+  CHECK(pace.Slowness(kStart) == doctest::Approx(12));
+  CHECK(pace.Slowness(kStart + seconds(2)) > 3);
+  CHECK(pace.Slowness(kStart + seconds(12)) < 1.1);
+  SUBCASE("work that began before does not hide it")
+  {
+    pace.OnReported(1, kStart + milliseconds(10));
+    CHECK(pace.Slowness(kStart + milliseconds(10)) > 3);
+  }
+  SUBCASE("usual reports in a row end it")
+  {
+    for (int i = 0; i < 4; ++i) {
+      pace.OnReported(1, kStart + milliseconds(500));
+    }
+    CHECK(pace.Slowness(kStart + milliseconds(1000)) < 1.2);
+  }
+}
+
+// Pattern: neighbours on its machine slow a server four times for some tenths
+// of a second.
+TEST_CASE("pace: what neighbours cause is soon forgotten")
+{
+  ServerPace pace;
+  pace.OnReported(4, kStart);
+  CHECK(pace.Slowness(kStart) == doctest::Approx(4));
+  CHECK(pace.Slowness(kStart + milliseconds(600)) < 1.4);
+}
+
+TEST_CASE("pace: a usual report does not hide slow replies")
+{
+  ServerPace pace;
+  pace.OnReply(9, kStart, kStart + milliseconds(180));
+  const double shown = pace.Slowness(kStart + milliseconds(180));
+  pace.OnReported(1, kStart + milliseconds(180));
+  CHECK(pace.Slowness(kStart + milliseconds(180)) == doctest::Approx(shown));
+}
