Open a connection before a hedge needs it; tell resets of full servers apart

Change: when half of a hedge's delay is over, a connection to the server that it would go to is opened, unless one is free; the choice of a server counts the time of a connect. A new connection that is reset within a round trip, with nothing read from it, costs neither an attempt nor budget and the server is left alone for a moment; an action is not sent again, as that is no proof.

The two new tests fail with the change taken out.

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -82,6 +82,8 @@
   NoRoom,
   /// The connection ended before a reply began.
   Closed,
+  /// A new connection was reset at once: the server has too many.
+  TurnedAway,
   CutShort,
   Malformed,
   TooLarge,
@@ -100,7 +102,7 @@
 template<>
 struct EnumTable<ExchangeFault>
 {
-  static constexpr std::array<EnumName<ExchangeFault>, 15> kRows{ {
+  static constexpr std::array<EnumName<ExchangeFault>, 16> kRows{ {
     { ExchangeFault::None, "none" },
     { ExchangeFault::Shed, "shed" },
     { ExchangeFault::WrongServer, "wrong_server" },
@@ -108,6 +110,7 @@
     { ExchangeFault::ConnectTimeout, "connect_timeout" },
     { ExchangeFault::NoRoom, "no_room" },
     { ExchangeFault::Closed, "closed" },
+    { ExchangeFault::TurnedAway, "turned_away" },
     { ExchangeFault::CutShort, "cut_short" },
     { ExchangeFault::Malformed, "malformed" },
     { ExchangeFault::TooLarge, "too_large" },
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -49,6 +49,10 @@
   /// Shortest and, as a part of the objective, longest delay of a hedge.
   milliseconds minHedgeDelay_{ 8 };
   double maxHedgeShare_ = 0.5;
+  /// Part of a hedge's delay after which a connection is opened for it, if none
+  /// is free: the rest of the delay is about the time of a connect to another
+  /// region, 22 to 46 ms.
+  double prepareShare_ = 0.5;
   /// Part of the budget of extra sends that hedges leave to retries, which make
   /// up for a failure that is certain.
   double hedgeReserve_ = 0.2;
--- a/src/forward/GatherRun.cpp
+++ b/src/forward/GatherRun.cpp
@@ -92,6 +92,7 @@
   }
   const bool isNeeded = IsNeeded();
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
+    ConsiderPreparing(attempts_[i], aNow);
     ConsiderHedge(attempts_[i], i, isNeeded, aNow);
   }
 }
@@ -100,7 +101,7 @@
 {
   TimePoint next = NextGatherDecision(Progress(), aNow);
   for (const Attempts& attempts : attempts_) {
-    next = std::min(next, attempts.hedgeAt_);
+    next = std::min({ next, attempts.prepareAt_, attempts.hedgeAt_ });
   }
   return next;
 }
--- a/src/forward/Run.cpp
+++ b/src/forward/Run.cpp
@@ -117,8 +117,9 @@
   aAttempts.open_.push_back({ exchange, choice->pool_ });
   const bool mayHedge = route_.effect_ == RouteEffect::Idempotent &&
                         aAttempts.open_.size() == 1 &&
-                        aAttempts.mayHaveRun_ + 1 < route_.maxAttempts_;
+                        aAttempts.spent_ + 1 < route_.maxAttempts_;
   aAttempts.hedgeAt_ = TimePoint::max();
+  aAttempts.prepareAt_ = TimePoint::max();
   if (mayHedge) {
     const Duration usual =
       stats_.attempts_.Count() < kMinSamples
@@ -127,14 +128,36 @@
     const Duration longest = std::max<Duration>(
       context_.settings_.minHedgeDelay_,
       Fraction(route_.objective_, context_.settings_.maxHedgeShare_));
-    aAttempts.hedgeAt_ =
-      aNow +
+    const auto delay =
       std::clamp<Duration>(usual, context_.settings_.minHedgeDelay_, longest);
+    aAttempts.hedgeAt_ = aNow + delay;
+    aAttempts.prepareAt_ =
+      aNow + Fraction(delay, context_.settings_.prepareShare_);
   }
   choice->pool_->Send(std::move(exchange), aNow);
   return true;
 }
 
+void Run::ConsiderPreparing(Attempts& aAttempts, TimePoint aNow)
+{
+  if (aAttempts.prepareAt_ > aNow) {
+    return;
+  }
+  aAttempts.prepareAt_ = TimePoint::max();
+  if (aAttempts.open_.empty()) {
+    return;
+  }
+  ExtraBudget& budget = context_.budgetOf_(aAttempts.service_);
+  const auto next = context_.pools_.Choose(aAttempts.service_,
+                                           aAttempts.tried_,
+                                           stats_.Work(),
+                                           budget.UsedShare(aNow),
+                                           aNow);
+  if (next) {
+    next->pool_->Prepare(aNow);
+  }
+}
+
 double Run::ReserveOf(bool aIsNeeded) const
 {
   return aIsNeeded ? context_.settings_.neededReserve_
@@ -150,7 +173,7 @@
     return;
   }
   aAttempts.hedgeAt_ = TimePoint::max();
-  if (aAttempts.mayHaveRun_ + aAttempts.open_.size() >= route_.maxAttempts_) {
+  if (aAttempts.spent_ + aAttempts.open_.size() >= route_.maxAttempts_) {
     return;
   }
   if (!context_.budgetOf_(aAttempts.service_)
@@ -171,12 +194,13 @@
   const bool isAllowed =
     aAttempts.mayHaveRun_ == 0 ||
     (route_.effect_ == RouteEffect::Idempotent &&
-     aAttempts.mayHaveRun_ + aAttempts.open_.size() < route_.maxAttempts_);
+     aAttempts.spent_ + aAttempts.open_.size() < route_.maxAttempts_);
   if (!isAllowed || aAttempts.sends_ >= kMaxSends || aNow >= finalAt_) {
     return false;
   }
   // What was never written has not arrived, and costs nothing of the budget.
-  const bool isFree = aAttempts.lastFault_ == ExchangeFault::ConnectFailed ||
+  const bool isFree = aAttempts.lastFault_ == ExchangeFault::TurnedAway ||
+                      aAttempts.lastFault_ == ExchangeFault::ConnectFailed ||
                       aAttempts.lastFault_ == ExchangeFault::ConnectTimeout ||
                       aAttempts.lastFault_ == ExchangeFault::NoRoom ||
                       aAttempts.lastFault_ == ExchangeFault::Retired;
@@ -207,6 +231,9 @@
   if (aExchange.end_ == ExchangeEnd::Answered ||
       aExchange.end_ == ExchangeEnd::Failed) {
     ++aAttempts.mayHaveRun_;
+    // A server that has too many connections does not read what is sent on a
+    // new one: sure enough to spend no attempt on it, but no proof.
+    aAttempts.spent_ += aExchange.fault_ == ExchangeFault::TurnedAway ? 0 : 1;
   }
   if (aExchange.end_ == ExchangeEnd::Answered && aExchange.reply_.IsSuccess()) {
     const Duration took = aNow - aExchange.sentAt_;
@@ -230,6 +257,7 @@
   }
   aAttempts.open_.clear();
   aAttempts.hedgeAt_ = TimePoint::max();
+  aAttempts.prepareAt_ = TimePoint::max();
 }
 
 void Run::OnCallerGone(TimePoint aNow)
--- a/src/forward/Run.h
+++ b/src/forward/Run.h
@@ -107,9 +107,13 @@
     PoolList tried_;
     /// Sends that the server may have run.
     uint32_t mayHaveRun_ = 0;
+    /// Of these the ones that count against the route's attempts.
+    uint32_t spent_ = 0;
     /// All sends.
     uint32_t sends_ = 0;
     TimePoint hedgeAt_ = TimePoint::max();
+    /// When a connection is opened for the hedge.
+    TimePoint prepareAt_ = TimePoint::max();
     ExchangeFault lastFault_ = ExchangeFault::None;
   };
 
@@ -120,6 +124,9 @@
 
   /// Sends one attempt, unless no server is left.
   bool TrySend(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow);
+  /// Opens a connection for a hedge that is likely, so that the hedge does not
+  /// wait for it.
+  void ConsiderPreparing(Attempts& aAttempts, TimePoint aNow);
   /// Sends a second attempt beside an open one, if attempts and budget allow.
   ///
   /// @param aIsNeeded without this service's reply there is no success.
--- a/src/forward/ServerLink.cpp
+++ b/src/forward/ServerLink.cpp
@@ -87,6 +87,7 @@
     return;
   }
   connectTime_ = now - since_;
+  connectedAt_ = now;
   SetOptions();
   StartParser();
   SetState(LinkState::Idle, now);
@@ -194,6 +195,7 @@
     OnEnd(aError, now);
     return;
   }
+  hasRead_ = true;
   if (state_ != LinkState::Busy) {
     // Nothing was asked: whatever it is belongs to no request.
     Close(ExchangeFault::Malformed, now);
@@ -245,11 +247,24 @@
     Close(ExchangeFault::CutShort, aNow);
     return;
   }
+  if (IsTurnedAway(aError, aNow)) {
+    Close(ExchangeFault::TurnedAway, aNow);
+    return;
+  }
   Close(parser_ && parser_->got_some() ? ExchangeFault::CutShort
                                        : ExchangeFault::Closed,
         aNow);
 }
 
+bool ServerLink::IsTurnedAway(const Error& aError, TimePoint aNow) const
+{
+  // The reset of a server that has too many connections is under way when the
+  // connect ends, and needs no more than another round trip.
+  constexpr milliseconds kSlack{ 5 };
+  return aError == asio::error::connection_reset && !hasRead_ &&
+         aNow - connectedAt_ <= connectTime_ + kSlack;
+}
+
 void ServerLink::OnReply(TimePoint aNow)
 {
   auto reply = parser_->release();
--- a/src/forward/ServerLink.h
+++ b/src/forward/ServerLink.h
@@ -99,6 +99,8 @@
   void OnRead(const Error& aError, size_t aBytes);
   void Parse(TimePoint aNow);
   void OnEnd(const Error& aError, TimePoint aNow);
+  /// @return whether the server reset the connection as soon as it took it.
+  bool IsTurnedAway(const Error& aError, TimePoint aNow) const;
   void WriteRest();
   void OnReply(TimePoint aNow);
   void JudgeReply(Exchange& aExchange, Parser::value_type& aReply);
@@ -118,6 +120,9 @@
   LinkState state_ = LinkState::Connecting;
   TimePoint since_{};
   Duration connectTime_{};
+  TimePoint connectedAt_{};
+  /// Whether anything was read from the connection.
+  bool hasRead_ = false;
   milliseconds idleLimit_;
   std::optional<ReportedServerLoad> load_;
   std::shared_ptr<Exchange> exchange_;
--- a/src/forward/ServerPool.cpp
+++ b/src/forward/ServerPool.cpp
@@ -108,6 +108,13 @@
   Pump(aNow);
 }
 
+void ServerPool::Prepare(TimePoint aNow)
+{
+  if (NeedsConnect() && links_.size() < maxLinks_ && !isRetired_) {
+    OpenLink(aNow);
+  }
+}
+
 void ServerPool::Abandon(const std::shared_ptr<Exchange>& aExchange,
                          TimePoint aCloseAt,
                          TimePoint aNow)
@@ -186,6 +193,7 @@
   state.isWarmingUp_ = aNow < warmUntil_;
   state.isOtherRegion_ = distance_ == ZoneDistance::Far;
   state.isSuspect_ = aNow < suspectUntil_;
+  state.needsConnect_ = NeedsConnect();
   return state;
 }
 
@@ -297,6 +305,9 @@
   const bool isConnect = aFault == ExchangeFault::ConnectFailed ||
                          aFault == ExchangeFault::ConnectTimeout;
   Forget(aLink);
+  if (aFault == ExchangeFault::TurnedAway) {
+    NoteConnectFailure(aNow);
+  }
   if (!isConnect) {
     return;
   }
@@ -313,6 +324,10 @@
   if (aExchange.fault_ == ExchangeFault::Abandoned) {
     return;
   }
+  if (aExchange.fault_ == ExchangeFault::TurnedAway) {
+    NoteConnectFailure(aNow);
+    return;
+  }
   const bool isServerFault = aExchange.end_ == ExchangeEnd::Failed ||
                              aExchange.fault_ == ExchangeFault::WrongServer ||
                              aExchange.fault_ == ExchangeFault::Shed ||
--- a/src/forward/ServerPool.h
+++ b/src/forward/ServerPool.h
@@ -52,6 +52,8 @@
   /// @param aMaxLinks connections that this instance may have, at least 1.
   void SetMaxLinks(uint32_t aMaxLinks) { maxLinks_ = aMaxLinks; }
 
+  /// Opens a connection for a request that may follow, unless one is free.
+  void Prepare(TimePoint aNow);
   /// Sends the exchange, or lets it wait for a connection. The listener hears
   /// of its end later.
   void Send(std::shared_ptr<Exchange> aExchange, TimePoint aNow);
@@ -85,6 +87,11 @@
                     TimePoint aNow) override;
 
 private:
+  /// @return whether a request that is sent now waits for a connect.
+  bool NeedsConnect() const
+  {
+    return idle_.empty() && connecting_ <= waiting_.size();
+  }
   void Pump(TimePoint aNow);
   void OpenLink(TimePoint aNow);
   void Forget(const ServerLink& aLink);
--- a/src/forward/SingleRun.cpp
+++ b/src/forward/SingleRun.cpp
@@ -94,12 +94,13 @@
            aNow);
     return;
   }
+  ConsiderPreparing(attempts_, aNow);
   ConsiderHedge(attempts_, 0, true, aNow);
 }
 
 TimePoint SingleRun::NextWake(TimePoint) const
 {
-  return std::min(finalAt_, attempts_.hedgeAt_);
+  return std::min({ finalAt_, attempts_.prepareAt_, attempts_.hedgeAt_ });
 }
 
 ForwardAnswer SingleRun::PassOn(ForwardReply aReply) const
--- a/src/policy/ReplicaRank.cpp
+++ b/src/policy/ReplicaRank.cpp
@@ -30,6 +30,9 @@
   const Duration expected =
     aReplica.roundTrip_ + Scaled(work, 1 + queued + crowding);
   Duration predicted = expected;
+  if (aReplica.needsConnect_) {
+    predicted += aReplica.roundTrip_ + aSettings.connectCost_;
+  }
   if (aReplica.oldestWait_ >
       Scaled(expected, aSettings.stallFactor_) + aSettings.stallSlack_) {
     predicted += aSettings.stallCost_;
--- a/src/policy/ReplicaRank.h
+++ b/src/policy/ReplicaRank.h
@@ -31,6 +31,9 @@
   /// What it costs when the budget is used up: the answer itself, several
   /// times a usual objective of 100 to 250 ms.
   Duration lastFailureCost_ = milliseconds(300);
+  /// Added to a round trip for a server that no connection is open to: what its
+  /// work on a new connection takes, measured as 6 ms.
+  Duration connectCost_ = milliseconds(6);
   /// How much slower a server is while it warms up.
   double warmupFactor_ = 1.6;
 };
@@ -53,6 +56,8 @@
   double failureShare_ = 0;
   bool isWarmingUp_ = false;
   bool isOtherRegion_ = false;
+  /// No connection to it is free, so that one has to be opened first.
+  bool needsConnect_ = false;
   /// May be used only when no other is left: it could not be reached lately.
   bool isSuspect_ = false;
 };
--- a/tests/forward/ScriptedServer.h
+++ b/tests/forward/ScriptedServer.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "core/WorkerPool.h"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
@@ -56,6 +57,7 @@
   {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  size_t Connections() const { return connections_; }
   std::vector<std::string> Requests() const
   {
     const std::lock_guard lock(mutex_);
@@ -70,6 +72,7 @@
     while (true) {
       Socket socket =
         co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      ++connections_;
       boost::asio::co_spawn(
         pool_.Context(0), Serve(std::move(socket)), boost::asio::detached);
     }
@@ -136,6 +139,44 @@
   Script script_;
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
+  std::atomic<size_t> connections_{ 0 };
+  WorkerPool pool_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+/// A backend server that has too many connections: it resets each new one.
+class FullServer
+{
+public:
+  FullServer()
+    : pool_(1)
+    , acceptor_(pool_.Context(0))
+  {
+    Listen(acceptor_, "127.0.0.1", 0).IgnoreError();
+    boost::asio::co_spawn(pool_.Context(0), Accept(), boost::asio::detached);
+    pool_.Start();
+  }
+  ~FullServer() { pool_.Stop(); }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  size_t Connections() const { return connections_; }
+
+private:
+  boost::asio::awaitable<void> Accept()
+  {
+    while (true) {
+      boost::asio::ip::tcp::socket socket =
+        co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      ++connections_;
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+      socket.close();
+    }
+  }
+
+  std::atomic<size_t> connections_{ 0 };
   WorkerPool pool_;
   boost::asio::ip::tcp::acceptor acceptor_;
 };
--- a/tests/forward/SingleRunTest.cpp
+++ b/tests/forward/SingleRunTest.cpp
@@ -193,6 +193,67 @@
   }
 }
 
+TEST_CASE("single: a connection stands ready before a hedge needs it")
+{
+  ScriptedServer slow([](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply("slow"), milliseconds(3000) };
+  });
+  ScriptedServer other([](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply("fast") };
+  });
+  ForwardSettings settings;
+  settings.prepareShare_ = 0.1;
+  ForwardFixture fixture(settings);
+  RouteDocument document = SingleRoutes({ "proofs" }, RouteEffect::Idempotent);
+  // The hedge comes after a second, the connection after a tenth of one.
+  document.routes_[0].objective_ = seconds(2);
+  document.routes_[0].timeout_ = seconds(4);
+  fixture.SetRoutes(document);
+  fixture.Announce("i-1", "proofs", slow.Address());
+  std::string body;
+  std::thread caller(
+    [&] { body = fixture.Get("/proofs/1", seconds(4)).body(); });
+  while (slow.Requests().empty()) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  fixture.Announce("i-2", "proofs", other.Address());
+  const TimePoint deadline = Now() + milliseconds(700);
+  while (other.Connections() == 0 && Now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  CHECK(other.Connections() == 1);
+  CHECK(other.Requests().empty());
+  caller.join();
+  CHECK(body == "fast");
+  CHECK(other.Connections() == 1);
+}
+
+// Pattern: after a loss of power servers still hold the connections of the
+// instances before it, and reset new ones.
+TEST_CASE("single: a server that has too many connections costs no attempt")
+{
+  for (const RouteEffect effect :
+       { RouteEffect::Idempotent, RouteEffect::AtMostOnce }) {
+    CAPTURE(NameOf(effect));
+    ScriptedServer well([](const std::string&, size_t) {
+      return ScriptedReply{ SignedReply("good") };
+    });
+    FullServer full;
+    ForwardFixture fixture;
+    fixture.SetRoutes(SingleRoutes({ "proofs" }, effect, 1));
+    fixture.Announce("i-1", "proofs", full.Address());
+    fixture.Announce("i-2", "proofs", well.Address());
+    for (int i = 0; i < 30 && full.Connections() == 0; ++i) {
+      const unsigned status = fixture.Get("/proofs/1").result_int();
+      // What may have run, for all that can be proved, is not sent again.
+      const bool isRight =
+        status == 200 || (status == 502 && effect == RouteEffect::AtMostOnce);
+      CHECK(isRight);
+    }
+    CHECK(full.Connections() > 0);
+  }
+}
+
 TEST_CASE("single: the answer comes before the time is over, and is true")
 {
   ForwardFixture fixture;
--- a/tests/policy/ReplicaRankTest.cpp
+++ b/tests/policy/ReplicaRankTest.cpp
@@ -47,6 +47,9 @@
   };
   const Row rows[] = {
     { "the near one", [](ReplicaState&) {}, 0 },
+    { "the near one, over a new connection",
+      [](ReplicaState& a) { a.needsConnect_ = true; },
+      0 },
     { "a little work there", [](ReplicaState& a) { a.inFlight_ = 2; }, 0 },
     { "a full queue there", [](ReplicaState& a) { a.reported_ = 9; }, 1 },
     { "slow", [](ReplicaState& a) { a.slowness_ = 5; }, 1 },
