--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -1,11 +1,15 @@
 #include "control/Command.h"
 
 #include "control/control_generated.h"
+#include "core/Compression.h"
 #include "instance/WireCodec.h"
 
 namespace foxtail {
 namespace {
 
+/// Far above the largest order that the calls take.
+constexpr size_t kMaxDocumentBytes = size_t{ 64 } * 1024 * 1024;
+
 struct WireCommand
 {
   wire::CommandBody kind_ = wire::CommandBody::NONE;
@@ -79,11 +83,14 @@
 
   WireCommand operator()(const AdoptDocument& aBody) const
   {
-    const auto text = builder_.CreateString(aBody.text_);
-    return {
-      wire::CommandBody::AdoptDocument,
-      wire::CreateAdoptDocument(builder_, aBody.version_.Value(), text).Union()
-    };
+    // It goes to each member, also in other regions, and has many repeats.
+    const std::string packed = Compress(aBody.text_);
+    const auto text = builder_.CreateVector(
+      reinterpret_cast<const uint8_t*>(packed.data()), packed.size());
+    return { wire::CommandBody::AdoptDocument,
+             wire::CreateAdoptDocument(
+               builder_, aBody.version_.Value(), 0, text)
+               .Union() };
   }
 };
 
@@ -105,9 +112,20 @@
            aWire.author()->str() };
 }
 
-AdoptDocument FromWire(const wire::AdoptDocument& aWire)
+absl::StatusOr<CommandBody> FromWire(const wire::AdoptDocument& aWire)
 {
-  return { DocumentVersion(aWire.version()), aWire.text()->str() };
+  const DocumentVersion version(aWire.version());
+  if (aWire.packed_text() == nullptr) {
+    return AdoptDocument{ version, ToText(aWire.text()) };
+  }
+  auto text =
+    Decompress({ reinterpret_cast<const char*>(aWire.packed_text()->data()),
+                 aWire.packed_text()->size() },
+               kMaxDocumentBytes);
+  if (!text.ok()) {
+    return text.status();
+  }
+  return AdoptDocument{ version, *std::move(text) };
 }
 
 ClaimAction FromWire(const wire::ClaimAction& aWire)
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -558,7 +558,8 @@
   typedef AdoptDocumentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
-    VT_TEXT = 6
+    VT_TEXT = 6,
+    VT_PACKED_TEXT = 8
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -566,11 +567,16 @@
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
+  const flatbuffers::Vector<uint8_t> *packed_text() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_TEXT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyOffsetRequired(verifier, VT_TEXT) &&
+           VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_PACKED_TEXT) &&
+           verifier.VerifyVector(packed_text()) &&
            verifier.EndTable();
   }
 };
@@ -585,6 +591,9 @@
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(AdoptDocument::VT_TEXT, text);
   }
+  void add_packed_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_text) {
+    fbb_.AddOffset(AdoptDocument::VT_PACKED_TEXT, packed_text);
+  }
   explicit AdoptDocumentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -592,7 +601,6 @@
   flatbuffers::Offset<AdoptDocument> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<AdoptDocument>(end);
-    fbb_.Required(o, AdoptDocument::VT_TEXT);
     return o;
   }
 };
@@ -600,9 +608,11 @@
 inline flatbuffers::Offset<AdoptDocument> CreateAdoptDocument(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_text = 0) {
   AdoptDocumentBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_packed_text(packed_text);
   builder_.add_text(text);
   return builder_.Finish();
 }
@@ -610,12 +620,15 @@
 inline flatbuffers::Offset<AdoptDocument> CreateAdoptDocumentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    const char *text = nullptr) {
+    const char *text = nullptr,
+    const std::vector<uint8_t> *packed_text = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto packed_text__ = packed_text ? _fbb.CreateVector<uint8_t>(*packed_text) : 0;
   return foxtail::wire::CreateAdoptDocument(
       _fbb,
       version,
-      text__);
+      text__,
+      packed_text__);
 }
 
 struct Command FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -21,7 +21,7 @@
 constexpr seconds kEntryMemory{ 30 };
 /// A source that has run for this long was asked by all that reach it: longer
 /// than the longest wait of a question and the pause after a failed one.
-constexpr seconds kFirstCount{ 5 };
+constexpr milliseconds kFirstCount{ 2600 };
 /// News of servers waits this long for more, so that one answer tells many:
 /// when an index is cut anew, hundreds change within a second. Far below the
 /// seconds within which a draining server must be left alone.
--- a/tests/control/ControlStateTest.cpp
+++ b/tests/control/ControlStateTest.cpp
@@ -1,4 +1,5 @@
 #include "control/ControlState.h"
+#include "control/control_generated.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -351,3 +352,39 @@
   CHECK(restored.Documents().Version() == DocumentVersion(41));
   CHECK(*restored.Documents().Text() == "routes");
 }
+
+TEST_CASE("an order with many routes takes a fraction of its size in the log")
+{
+  std::string text;
+  for (int i = 0; i < 350; ++i) {
+    text += R"({"name":"route-)" + std::to_string(i) +
+            R"(","host":"shop.example","timeout_ms":2500,"shards":["a","b"]})";
+  }
+  const Command command{ milliseconds(5),
+                         AdoptDocument{ DocumentVersion(41), text } };
+  const std::string bytes = EncodeCommand(command);
+  CHECK(bytes.size() * 4 < text.size());
+  const auto decoded = DecodeCommand(bytes);
+  REQUIRE(decoded.ok());
+  CHECK(std::get<AdoptDocument>(decoded->body_).text_ == text);
+  CHECK(rc::check("a damaged order is refused or read, and never crashes", [&] {
+    std::string damaged = bytes;
+    damaged[*rc::gen::inRange<size_t>(0, bytes.size())] =
+      *rc::gen::arbitrary<char>();
+    (void)DecodeCommand(damaged);
+  }));
+}
+
+TEST_CASE("an order in a log of an earlier release is read")
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto text = builder.CreateString("routes");
+  const auto body = wire::CreateAdoptDocument(builder, 7, text).Union();
+  builder.Finish(
+    wire::CreateCommand(builder, 5, wire::CommandBody::AdoptDocument, body));
+  const auto decoded =
+    DecodeCommand({ reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                    builder.GetSize() });
+  REQUIRE(decoded.ok());
+  CHECK(std::get<AdoptDocument>(decoded->body_).text_ == "routes");
+}
