Ask a control instance that has just started later for all its servers

At a start the question to a far one could begin before the nearest was known, and then brought its list too; that made a test fail once.

Change: a source that was never level with this instance is asked for its list after 1.5 s instead of 0.3; sources in other zones are asked for nothing large until all have answered or 0.2 s are over.

--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -30,6 +30,7 @@
 
 void FeedClient::Start(TimePoint aNow)
 {
+  startedAt_ = aNow;
   SetSeeds(settings_.seeds_, aNow);
 }
 
@@ -106,21 +107,34 @@
 bool FeedClient::WantsText(const Source& aSource, TimePoint aNow)
 {
   // The first answer tells where the source is.
-  if (settings_.isControl_ || !aSource.hasAnswered_) {
+  const bool isTooSoon =
+    aSource.distance_ != ZoneDistance::Same && !IsNearestKnown(aNow);
+  if (settings_.isControl_ || !aSource.hasAnswered_ || isTooSoon) {
     return false;
   }
   ChooseTextSource(aNow);
   return textSource_ == nullptr || textSource_ == &aSource;
 }
 
+bool FeedClient::IsNearestKnown(TimePoint aNow) const
+{
+  return aNow - startedAt_ >= settings_.settleTime_ ||
+         std::all_of(sources_.begin(), sources_.end(), [](const auto& aRow) {
+           return aRow.second.hasAnswered_;
+         });
+}
+
 bool FeedClient::WantsServers(const Source& aSource, TimePoint aNow) const
 {
   if (settings_.isControl_) {
     return true;
   }
+  if (aSource.distance_ != ZoneDistance::Same && !IsNearestKnown(aNow)) {
+    return false;
+  }
   const bool isOverdue =
     aSource.lacksServersSince_ != TimePoint::max() &&
-    aNow - aSource.lacksServersSince_ >= settings_.serversTimeout_;
+    aNow - aSource.lacksServersSince_ >= ServersTimeout(aSource);
   return aSource.hasAnswered_ &&
          (isOverdue || FindNearest(DocumentVersion(), aNow) == &aSource);
 }
@@ -139,6 +153,9 @@
                            aNow >= aSource.renewalsAt_;
   const bool isNear = aSource.distance_ == ZoneDistance::Same;
   request.wait_ = isNear ? settings_.wait_ : settings_.farWait_;
+  if (!isNear && !IsNearestKnown(aNow)) {
+    request.wait_ = settings_.settleTime_;
+  }
   if (!aSource.hasAnswered_) {
     request.wait_ = milliseconds(0);
     return request;
@@ -218,6 +235,7 @@
   }
   if (aSource.id_ != aReply.source_) {
     aSource.cursor_ = 0;
+    aSource.wasLevel_ = false;
   }
   aSource.isLost_ = false;
   aSource.hasAnswered_ = true;
@@ -259,9 +277,11 @@
   if (aRequest.wantsServers_) {
     hasServers_ = true;
     aSource.cursor_ = aReply.cursor_;
+    aSource.wasLevel_ = true;
     aSource.lacksServersSince_ = TimePoint::max();
   } else if (aReply.digest_ == directory_.Digest()) {
     aSource.cursor_ = aReply.revision_;
+    aSource.wasLevel_ = true;
     aSource.lacksServersSince_ = TimePoint::max();
   } else if (aReply.revision_ > aSource.cursor_) {
     aSource.lacksServersSince_ = std::min(aSource.lacksServersSince_, aNow);
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -45,6 +45,15 @@
   /// with farWait_ well below the seconds within which a draining server must
   /// be left alone.
   milliseconds serversTimeout_{ 300 };
+  /// The same for a source that was never level with this instance, as it has
+  /// just started: the time in which all servers announce themselves again, so
+  /// that its whole list need not travel.
+  milliseconds firstServersTimeout_{ 1500 };
+  /// After the start, sources in other zones are asked for more than where they
+  /// are only when all known ones have answered or this time is over: an answer
+  /// from another region takes 40 ms, and the nearest may be the last to be
+  /// known.
+  milliseconds settleTime_{ 200 };
   /// Largest document, in bytes.
   size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
   /// A source that no other names and that has not answered for this long is
@@ -111,6 +120,8 @@
     uint32_t entries_ = 0;
     bool hasAllEntries_ = false;
     ZoneDistance distance_ = ZoneDistance::Far;
+    /// Whether all that it knew was known here at some time.
+    bool wasLevel_ = false;
     /// Since when it knows changes of servers that are missing here, or max().
     TimePoint lacksServersSince_ = TimePoint::max();
     /// The document that it has applied.
@@ -127,6 +138,14 @@
   /// Chooses who brings documents: the nearest, or another one when it has not
   /// brought what others tell of.
   void ChooseTextSource(TimePoint aNow);
+  /// @return how long servers that a source knows may be missing.
+  milliseconds ServersTimeout(const Source& aSource) const
+  {
+    return aSource.wasLevel_ ? settings_.serversTimeout_
+                             : settings_.firstServersTimeout_;
+  }
+  /// @return whether the nearest source can be told by now.
+  bool IsNearestKnown(TimePoint aNow) const;
   /// @return whether the next question to a source asks for changed servers.
   bool WantsServers(const Source& aSource, TimePoint aNow) const;
   FeedRequest MakeRequest(const Source& aSource, TimePoint aNow);
@@ -155,6 +174,7 @@
   /// Whether a source has told its servers.
   bool hasServers_ = false;
   DocumentVersion version_;
+  TimePoint startedAt_{};
   TimePoint firstDocumentAt_ = TimePoint::max();
   /// The newest version that a source told of, and since when it is missing.
   DocumentVersion toldVersion_;
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -395,6 +395,34 @@
   CHECK(Now() - begin < milliseconds(2800));
 }
 
+// Pattern: control instances restart together and hear all servers anew.
+TEST_CASE("feed: a source that has just started does not tell its whole list")
+{
+  Source near("control-1", "zone-a");
+  Source far("control-2", "zone-b");
+  constexpr int kServers = 200;
+  ServerDirectory half;
+  ServerDirectory all;
+  for (int i = 0; i < kServers; ++i) {
+    (i % 2 == 0 ? half : all).Apply(Numbered(i), Now());
+    all.Apply(Numbered(i), Now());
+  }
+  // For a while each of the two knows servers that the other does not.
+  near.feed_.OnPeerServers(half, Now());
+  far.feed_.OnPeerServers(all, Now());
+  Client client({ near.Endpoint(), far.Endpoint() });
+  near.feed_.OnDocument(DocumentVersion(1), TextOf("first"));
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 2; }));
+  std::this_thread::sleep_for(milliseconds(700));
+  near.feed_.OnPeerServers(all, Now());
+  CHECK(client.WaitFor(
+    [&] { return client.feed_.Directory().Rows().size() == kServers; }));
+  std::this_thread::sleep_for(milliseconds(1500));
+  constexpr uint64_t kLeastBytesOfServer = 60;
+  CHECK(far.frames_.BytesSent(FrameKind::FeedReply) <
+        kServers * kLeastBytesOfServer / 4);
+}
+
 TEST_CASE("feed: control instances tell each other what servers told them")
 {
   Source one("control-1", "zone-a");
