--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -236,6 +236,11 @@
   co_return result.status();
 }
 
+void ReplicatedControl::SetSeeds(std::vector<ControlPeer> aSeeds)
+{
+  Post(NewSeeds{ std::move(aSeeds) });
+}
+
 void ReplicatedControl::Post(Input aInput)
 {
   {
@@ -520,6 +525,11 @@
   node_->TransferLeadership();
 }
 
+void ReplicatedControl::On(NewSeeds aSeeds)
+{
+  settings_.voters_ = std::move(aSeeds.seeds_);
+}
+
 void ReplicatedControl::Tick()
 {
   node_->Tick(now_);
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -67,6 +67,9 @@
   absl::Status Start(bool aIsBootstrap);
   /// Hands over leadership and stops.
   void Stop();
+  /// Takes other instances to ask for being taken into the group, when this
+  /// one is not in it.
+  void SetSeeds(std::vector<ControlPeer> aSeeds);
 
   /// Commits a command and applies it.
   ///
@@ -172,6 +175,10 @@
   };
   struct HandOver
   {};
+  struct NewSeeds
+  {
+    std::vector<ControlPeer> seeds_;
+  };
   using Input = std::variant<ConsensusMessage,
                              Submission,
                              Reading,
@@ -179,7 +186,8 @@
                              Joining,
                              Removal,
                              FinishedSnapshot,
-                             HandOver>;
+                             HandOver,
+                             NewSeeds>;
   struct InputVisitor;
   struct PendingProposal
   {
@@ -222,6 +230,7 @@
   void On(Removal aRemoval);
   void On(FinishedSnapshot aSnapshot);
   void On(HandOver);
+  void On(NewSeeds aSeeds);
   void Await(const Proposal& aProposal,
              TimePoint aDeadline,
              SubmitHandler aHandler);
--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -90,6 +90,18 @@
   feed_.OnPeerServers(aDirectory, aNow);
 }
 
+void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
+{
+  std::vector<std::string> endpoints;
+  endpoints.reserve(aSeeds.size());
+  for (const ControlPeer& seed : aSeeds) {
+    endpoints.push_back(seed.endpoint_);
+  }
+  boost::asio::post(workers_.Context(0),
+                    [this, endpoints] { peers_.SetSeeds(endpoints, Now()); });
+  control_.SetSeeds(std::move(aSeeds));
+}
+
 void EdgeControl::ArmTraffic()
 {
   traffic_.expires_after(kTrafficInterval);
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -40,6 +40,8 @@
   absl::Status Start();
   /// Hands over leadership and ends.
   void Stop();
+  /// Takes other seeds.
+  void SetSeeds(std::vector<ControlPeer> aSeeds);
 
   OrderService& Orders() { return orders_; }
   FeedSource& Feed() { return feed_; }
--- a/tests/control/JoinTest.cpp
+++ b/tests/control/JoinTest.cpp
@@ -54,6 +54,11 @@
   }
 
   bool IsLeader() const { return control_.IsLeader(); }
+  ControlPeer AsSeed() const { return { InstanceId(name_), Endpoint() }; }
+  void SetSeeds(std::vector<ControlPeer> aSeeds)
+  {
+    control_.SetSeeds(std::move(aSeeds));
+  }
 
   /// @return voters of the group as this member knows it.
   size_t Voters()
@@ -128,3 +133,17 @@
   CHECK(WaitUntil([&] { return first.Voters() == 3; }));
   CHECK(first.IsLeader());
 }
+
+TEST_CASE("join: changed seeds are asked by an instance that is not a member")
+{
+  Member first("control-1", {});
+  Member gone("control-9", {});
+  first.Start(true);
+  REQUIRE(WaitUntil([&] { return first.IsLeader(); }));
+  Member second("control-2", { &gone });
+  second.Start(false);
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(first.Voters() == 1);
+  second.SetSeeds({ first.AsSeed() });
+  CHECK(WaitUntil([&] { return first.Voters() == 2; }));
+}
