--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -395,7 +395,7 @@
   aInspection.handler_(*node_, state_);
 }
 
-void ReplicatedControl::On(Joining aJoining)
+void ReplicatedControl::On(const Joining& aJoining)
 {
   const MemberId& joiner = aJoining.member_.id_;
   const bool isDirect = aJoining.from_ == joiner.instance_;
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -226,7 +226,7 @@
   void On(Submission aSubmission);
   void On(Reading aReading);
   void On(const Inspection& aInspection);
-  void On(Joining aJoining);
+  void On(const Joining& aJoining);
   void On(Removal aRemoval);
   void On(FinishedSnapshot aSnapshot);
   void On(HandOver);
--- a/tests/control/JoinTest.cpp
+++ b/tests/control/JoinTest.cpp
@@ -1,3 +1,4 @@
+#include "../Support.h"
 #include "consensus/FileLogStorage.h"
 #include "control/ReplicatedControl.h"
 
@@ -11,14 +12,6 @@
 
 namespace {
 
-uint16_t FreePort()
-{
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
 /// A control instance, in a folder of its own that is removed at the end.
 class Member
 {
@@ -108,16 +101,6 @@
   ReplicatedControl control_;
 };
 
-template<typename Condition>
-bool WaitUntil(Condition aCondition)
-{
-  const TimePoint deadline = Now() + seconds(8);
-  while (!aCondition() && Now() < deadline) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
-  return aCondition();
-}
-
 } // namespace
 
 TEST_CASE("join: an instance whose seeds do not lead is taken in all the same")
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -1,3 +1,4 @@
+#include "../Support.h"
 #include "../forward/ScriptedServer.h"
 #include "edge/EdgeControl.h"
 #include "edge/EdgeInstance.h"
@@ -84,24 +85,6 @@
   return document;
 }
 
-uint16_t FreePort()
-{
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
-template<typename Condition>
-bool WaitUntil(Condition aCondition)
-{
-  const TimePoint deadline = Now() + seconds(8);
-  while (!aCondition() && Now() < deadline) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
-  return aCondition();
-}
-
 absl::StatusOr<HttpResponse> Ask(uint16_t aPort)
 {
   HttpRequest request = MakeRequest(boost::beast::http::verb::get, "/1");
