Plant mistakes that the soak's checks have to find

Ten mistakes, one for each promise, made where the world meets the programs. Found with it: two soaks could draw the same addresses (their histories mixed); a third of the seeds now has no unplanned fault of an instance, since drains and stops hold of instances in touch only, and nothing was left to check them on; a soak that is ended by SIGTERM ends its programs.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -44,10 +44,17 @@
           "control_disk_full", "all_controls_kill"}
 
 
+# Kinds that put instances out of touch; a third of the seeds has none of them, as
+# some promises hold only of instances that are in touch.
+UNPLANNED = LOSSES - {"control_stop"} | {"entry_kill", "entry_pause"}
+
+
 def draw(seed, length):
     """Faults of a seed for so many seconds, in order."""
     source = random.Random(seed)
-    kinds = list(KINDS)
+    is_planned_only = source.random() < 1 / 3
+    kinds = [kind for kind in KINDS
+             if not (is_planned_only and kind in UNPLANNED)]
     weights = [KINDS[kind][0] for kind in kinds]
     faults, at, losses_until = [], 1.0, 0.0
     while at < length:
@@ -64,6 +71,10 @@
     return faults
 
 
+# No trouble, or noted for each instance.
+NOTED_APART = {"entry_reload", "control_reload", "all_entries_stop"}
+
+
 class Injector:
     def __init__(self, world):
         self.world = world
@@ -88,7 +99,7 @@
         span = None
         if fault.kind == "entry_stop":
             span = Span("stop", who, self.world.now(), float("inf"))
-        elif who and "reload" not in fault.kind:
+        elif who and fault.kind not in NOTED_APART:
             span = Span("trouble", who, self.world.now(), float("inf"))
         elif scope in ("link", "server") and fault.kind != "server_leave":
             # A request may end with its server's connection.
@@ -136,12 +147,15 @@
 
     async def all_entries_stop(self, fleet, fault):
         # In turn, the next one while the one before still stops.
+        async def stop(machine):
+            span = Span("stop", machine.name, self.world.now(), float("inf"))
+            self.world.history.spans.append(span)
+            await self.stop_and_wait(machine)
+            span.end = self.world.now()
+
         stops = []
         for machine in fleet.entries:
-            begin = self.world.now()
-            span = Span("stop", machine.name, begin, float("inf"))
-            self.world.history.spans.append(span)
-            stops.append(asyncio.ensure_future(self.stop_and_wait(machine)))
+            stops.append(asyncio.ensure_future(stop(machine)))
             await asyncio.sleep(fault.length)
         await asyncio.gather(*stops)
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -8,6 +8,8 @@
 import os
 import random
 import shutil
+import signal
+import socket
 import sys
 import tempfile
 import time
@@ -16,19 +18,20 @@
 import promises
 import wire
 from machines import Fleet
-from world import World
+from world import PLANTS, World
 
 START_S = 6.0
 CALM_S = wire.RECOVERY_S + 3
 CALLERS_AN_ENTRY = 4
 LEAST_REQUESTS = 50
+HOLDER_PORT = 7739
 
 
-async def play(fleet, seed, length):
+async def play(fleet, seed, length, plant):
     """One seed: returns its faults and its history."""
     random.seed(seed)
     history = promises.History()
-    world = World(fleet, history, seed)
+    world = World(fleet, history, seed, plant)
     fleet.start()
     zones = "abc"
     for service in wire.SERVICES:
@@ -63,6 +66,19 @@
     return line, history
 
 
+def claim_number():
+    """A second byte of 127/8 that no other soak on this machine uses, and the
+    socket that holds it."""
+    for number in random.sample(range(40, 240), 200):
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{number}.0.250", HOLDER_PORT))
+            return number, holder
+        except OSError:
+            holder.close()
+    raise RuntimeError("all addresses are in use; end other soaks first")
+
+
 def shift_orders(history, by):
     """Moves what was seen before the first request to the run's clock."""
     for run in history.runs:
@@ -98,19 +114,25 @@
     parser.add_argument("--processes", type=int, default=7,
                         help="instances, three of them control instances")
     parser.add_argument("--keep", help="folder for logs of seeds that fail")
+    parser.add_argument("--plant", choices=sorted(PLANTS),
+                        help="a mistake that the checks have to find")
     options = parser.parse_args()
     if options.processes < 4:
         parser.error("--processes: 4 or more, as three are control instances")
     first = options.seed if options.seed is not None else int(time.time()) % 10**6
     total = collections.Counter()
+    # Ends the programs too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    number, holder = claim_number()
     kinds, broken, failed = collections.Counter(), collections.Counter(), []
     for seed in range(first, first + options.seeds):
         folder = tempfile.mkdtemp(prefix="foxtail-soak-")
         fleet = Fleet(options.build, folder, options.processes - 3,
-                      number=40 + os.getpid() % 60)
+                      number=number)
         try:
             line, history = asyncio.run(play(fleet, seed,
-                                             options.minutes * 60))
+                                             options.minutes * 60,
+                                             options.plant))
         finally:
             fleet.stop()
         violations = check(history, fleet)
@@ -137,6 +159,7 @@
     print(json.dumps({"seeds": options.seeds, "first_seed": first, **total,
                       "faults": dict(sorted(kinds.items())),
                       "violations": dict(broken), "failed_seeds": failed}))
+    holder.close()
     return 1 if failed else 0
 
 
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -150,11 +150,12 @@
 
     async def leave(self):
         """Drains, serves on for a while, says goodbye and ends."""
-        self.state = "draining"
+        if self.world.plant != "drain_ignored":
+            self.state = "draining"
         acked = await self.tell("Heartbeat")
         if acked:
             self.world.history.drains[self.id] = self.world.now()
-        await asyncio.sleep(wire.DRAIN_S + 1)
+        await asyncio.sleep(wire.DRAIN_S + self.world.random.uniform(0.5, 6))
         await self.tell("Deregister")
         self.end()
 
@@ -215,9 +216,21 @@
         return True
 
 
+# Mistakes that may be planted, each with the check that has to find it. They are
+# made where the world meets the programs, as a faulty program would make them.
+PLANTS = {
+    "foreign_answer": "whole_answers", "run_twice": "at_most_once",
+    "false_not_run": "not_run_is_true", "extra_attempts": "budgets_kept",
+    "late_answer": "answers_in_time", "cut_by_stop": "stops_cut_nothing",
+    "order_lost": "orders_kept", "order_not_in_force": "orders_in_force",
+    "drain_ignored": "drained_left_alone", "no_recovery": "service_is_back",
+}
+PLANT_SHARE = 0.03
+
+
 class World:
-    def __init__(self, fleet, history, seed):
-        self.fleet, self.history = fleet, history
+    def __init__(self, fleet, history, seed, plant=None):
+        self.fleet, self.history, self.plant = fleet, history, plant
         self.random = random.Random(seed)
         self.begin = time.monotonic()
         self.stamps = 0
@@ -304,9 +317,37 @@
         except (OSError, ValueError, asyncio.IncompleteReadError,
                 asyncio.LimitOverrunError):
             pass
+        if self.plant is not None:
+            await self.make_mistake(machine, request)
         request.ended_at = self.now()
         return keep
 
+    async def make_mistake(self, machine, request):
+        is_chosen = self.random.random() < PLANT_SHARE
+        is_calm = self.history.calm_from > 0
+        again = (self.plant == "run_twice" and request.route == "once" and
+                 is_chosen) or (self.plant == "extra_attempts" and
+                                request.route == "one")
+        for _ in range(2 if again else 0):
+            try:
+                await call(f"{machine.address}:{wire.FRONT_PORT}", "POST",
+                           f"/{request.route}/x", b"act",
+                           {"Foxtailthread-Request-Id": request.id},
+                           host=wire.HOST)
+            except (OSError, asyncio.TimeoutError, ValueError,
+                    asyncio.IncompleteReadError):
+                pass  # the mistake failed this time
+        if self.plant == "foreign_answer" and is_chosen:
+            request.stamps = ["i-0000.0"]
+        elif self.plant == "false_not_run" and is_chosen:
+            request.status = 503
+        elif self.plant == "late_answer" and is_chosen:
+            await asyncio.sleep(wire.TIMEOUT_S + 0.6)
+        elif self.plant == "cut_by_stop" and machine.is_stopping:
+            request.status = None
+        elif self.plant == "no_recovery" and is_calm:
+            request.status = 503
+
     async def order(self, version=None):
         """Sends an order until it is answered, to instances at random."""
         if version is None:
@@ -316,6 +357,10 @@
         row = next(order for order in self.history.orders
                    if order.version == version)
         body = wire.order_text(version, self.extra_routes).encode()
+        is_kept = self.plant in ("order_lost", "order_not_in_force")
+        if is_kept and len(self.history.orders) > 1:
+            row.acked_at = self.now()  # and it never reaches the programs
+            return
         while not self.is_over:
             status, _ = await self.ask_control("POST", "/Config.Replace", body)
             if status == 200:
