--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -43,10 +43,9 @@
   , traffic_(workers_.Context(0))
 {
   control_.OnFailure(std::move(aOnFailure));
-  control_.OnDocument(
-    [this](DocumentVersion aVersion,
-           std::shared_ptr<const std::string> aText,
-           bool) { feed_.OnDocument(aVersion, std::move(aText)); });
+  control_.OnDocument([this](DocumentVersion aVersion,
+                             const std::shared_ptr<const std::string>& aText,
+                             bool) { feed_.OnDocument(aVersion, aText); });
   control_.OnMembership([this](const Membership& aMembership) {
     std::vector<std::string> endpoints;
     endpoints.reserve(aMembership.members_.size());
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -111,7 +111,7 @@
 }
 
 void FeedSource::OnDocument(DocumentVersion aVersion,
-                            std::shared_ptr<const std::string> aText)
+                            const std::shared_ptr<const std::string>& aText)
 {
   auto packed = std::make_shared<const std::string>(Compress(*aText));
   const std::lock_guard lock(mutex_);
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -47,7 +47,7 @@
 
   /// Takes the accepted document; versions never go back.
   void OnDocument(DocumentVersion aVersion,
-                  std::shared_ptr<const std::string> aText);
+                  const std::shared_ptr<const std::string>& aText);
   /// Takes the endpoints of frames of the control instances.
   void OnControls(std::vector<std::string> aControls);
 
