--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -153,6 +153,10 @@
 
 absl::StatusOr<CommandBody> BodyOf(const wire::Command& aCommand)
 {
+  // The verifier lets a kind without a body pass.
+  if (aCommand.body() == nullptr) {
+    return MakeError(ErrorKind::Protocol, "command without a body");
+  }
   switch (aCommand.body_type()) {
     case wire::CommandBody::ChangeDocument:
       return FromWire(*aCommand.body_as_ChangeDocument());
--- a/tests/control/ControlStateTest.cpp
+++ b/tests/control/ControlStateTest.cpp
@@ -388,3 +388,14 @@
   REQUIRE(decoded.ok());
   CHECK(std::get<AdoptDocument>(decoded->body_).text_ == "routes");
 }
+
+TEST_CASE("a command without a body is refused")
+{
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(
+    wire::CreateCommand(builder, 5, wire::CommandBody::AdoptDocument, 0));
+  CHECK_FALSE(
+    DecodeCommand({ reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                    builder.GetSize() })
+      .ok());
+}
