Have the verifier refuse commands and messages without a body

The schemas did not say that the union is required, so that FlatBuffers' verifier let both pass.

Ruled out: other unions (there are no more).

Change: both unions are required in their schemas. What was encoded so far always has a body.

Measured: both tests crash without the change (the one of commands with its check taken out) and pass with it.

--- a/src/consensus/consensus_generated.h
+++ b/src/consensus/consensus_generated.h
@@ -1060,7 +1060,7 @@
            verifier.VerifyTable(to()) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
+           VerifyOffsetRequired(verifier, VT_BODY) &&
            VerifyBody(verifier, body(), body_type()) &&
            verifier.EndTable();
   }
@@ -1125,6 +1125,7 @@
     auto o = flatbuffers::Offset<Message>(end);
     fbb_.Required(o, Message::VT_FROM);
     fbb_.Required(o, Message::VT_TO);
+    fbb_.Required(o, Message::VT_BODY);
     return o;
   }
 };
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -667,7 +667,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_TIME_MS, 8) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
+           VerifyOffsetRequired(verifier, VT_BODY) &&
            VerifyCommandBody(verifier, body(), body_type()) &&
            verifier.EndTable();
   }
@@ -713,6 +713,7 @@
   flatbuffers::Offset<Command> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<Command>(end);
+    fbb_.Required(o, Command::VT_BODY);
     return o;
   }
 };
--- a/tests/consensus/ConsensusNodeTest.cpp
+++ b/tests/consensus/ConsensusNodeTest.cpp
@@ -1,5 +1,6 @@
 #include "GroupExplorer.h"
 #include "consensus/MessageCodec.h"
+#include "consensus/consensus_generated.h"
 
 #include <doctest/doctest.h>
 
@@ -248,3 +249,22 @@
   CHECK(IsEnumTableOrdered<VotingRole>());
   CHECK(IsEnumTableOrdered<EntryKind>());
 }
+
+TEST_CASE("a consensus message without a body is refused")
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto id =
+    wire::CreateMemberId(builder, builder.CreateString("control-1"), 7);
+  // Not by the generated builder, which asserts that there is a body.
+  const auto start = builder.StartTable();
+  builder.AddOffset(wire::Message::VT_FROM, id);
+  builder.AddOffset(wire::Message::VT_TO, id);
+  builder.AddElement<uint8_t>(wire::Message::VT_BODY_TYPE,
+                              static_cast<uint8_t>(wire::Body::VoteReply),
+                              0);
+  builder.Finish(flatbuffers::Offset<wire::Message>(builder.EndTable(start)));
+  CHECK_FALSE(
+    DecodeMessage({ reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                    builder.GetSize() })
+      .ok());
+}
--- a/tests/control/ControlStateTest.cpp
+++ b/tests/control/ControlStateTest.cpp
@@ -392,8 +392,13 @@
 TEST_CASE("a command without a body is refused")
 {
   flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(
-    wire::CreateCommand(builder, 5, wire::CommandBody::AdoptDocument, 0));
+  // Not by the generated builder, which asserts that there is one.
+  const auto start = builder.StartTable();
+  builder.AddElement<uint8_t>(
+    wire::Command::VT_BODY_TYPE,
+    static_cast<uint8_t>(wire::CommandBody::AdoptDocument),
+    0);
+  builder.Finish(flatbuffers::Offset<wire::Command>(builder.EndTable(start)));
   CHECK_FALSE(
     DecodeCommand({ reinterpret_cast<const char*>(builder.GetBufferPointer()),
                     builder.GetSize() })
