Read the change once more: one piece for what stood twice

- ReplicatedControl: SelfAs() for the instance as a member, which was put together in three places; one SendJoin() instead of three functions.
The check of a command's body is gone, as its schema has it.
- EdgeControl: EndpointsOf() and FollowPeers() for three loops and two posts.
- FeedClient: HaveAllAnswered() and IsTooSoon() for conditions that stood two and three times.
FeedSource: HasNews(); a document that is not newer is no longer compressed, as each new leader tells it again.
- Run: ChooseServer() for a hedge's preparation and an attempt.
- WireCodec: PutBytes() and ToView() for bytes in a FlatBuffer.

No change of behaviour.

--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -85,8 +85,7 @@
   {
     // It goes to each member, also in other regions, and has many repeats.
     const std::string packed = Compress(aBody.text_);
-    const auto text = builder_.CreateVector(
-      reinterpret_cast<const uint8_t*>(packed.data()), packed.size());
+    const auto text = PutBytes(builder_, packed);
     return { wire::CommandBody::AdoptDocument,
              wire::CreateAdoptDocument(
                builder_, aBody.version_.Value(), 0, text)
@@ -118,10 +117,7 @@
   if (aWire.packed_text() == nullptr) {
     return AdoptDocument{ version, ToText(aWire.text()) };
   }
-  auto text =
-    Decompress({ reinterpret_cast<const char*>(aWire.packed_text()->data()),
-                 aWire.packed_text()->size() },
-               kMaxDocumentBytes);
+  auto text = Decompress(ToView(*aWire.packed_text()), kMaxDocumentBytes);
   if (!text.ok()) {
     return text.status();
   }
@@ -153,10 +149,6 @@
 
 absl::StatusOr<CommandBody> BodyOf(const wire::Command& aCommand)
 {
-  // The verifier lets a kind without a body pass.
-  if (aCommand.body() == nullptr) {
-    return MakeError(ErrorKind::Protocol, "command without a body");
-  }
   switch (aCommand.body_type()) {
     case wire::CommandBody::ChangeDocument:
       return FromWire(*aCommand.body_as_ChangeDocument());
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -162,8 +162,7 @@
   StoredState state;
   Membership membership;
   membership.group_ = RandomSource::SystemSeed() | 1;
-  membership.members_.push_back(
-    { self_, VotingRole::Voter, settings_.endpoint_, settings_.admin_ });
+  membership.members_.push_back(SelfAs(VotingRole::Voter));
   state.hard_.term_ = 1;
   state.entries_.push_back(
     { 1, 1, EntryKind::Membership, EncodeMembership(membership) });
@@ -414,7 +413,8 @@
   }
   if (node_->Role() == ConsensusRole::Leader) {
     endpoints_[joiner.instance_] = aJoining.member_.endpoint_;
-    Greet(joiner.instance_);
+    // It may know members that do not lead only.
+    SendJoin(joiner.instance_, SelfAs(VotingRole::Voter), true);
     joiners_.insert_or_assign(joiner.instance_,
                               Joiner{ aJoining.member_, now_ });
   } else if (node_->Group() != 0 && isDirect) {
@@ -424,7 +424,7 @@
       { node_->Group(), self_, joiner, node_->CurrentTerm(), VoteReply{} });
     // The joiner may have been told of members that do not lead only.
     if (node_->Leader().has_value() && *node_->Leader() != self_) {
-      SendJoin(node_->Leader()->instance_, aJoining.member_);
+      SendJoin(node_->Leader()->instance_, aJoining.member_, false);
     }
   }
 }
@@ -438,23 +438,14 @@
     });
 }
 
-void ReplicatedControl::SendJoin(const InstanceId& aTo,
-                                 const GroupMember& aJoiner)
+GroupMember ReplicatedControl::SelfAs(VotingRole aRole) const
 {
-  SendJoinFrame(aTo, aJoiner, false);
+  return { self_, aRole, settings_.endpoint_, settings_.admin_ };
 }
 
-void ReplicatedControl::Greet(const InstanceId& aJoiner)
-{
-  const GroupMember leader{
-    self_, VotingRole::Voter, settings_.endpoint_, settings_.admin_
-  };
-  SendJoinFrame(aJoiner, leader, true);
-}
-
-void ReplicatedControl::SendJoinFrame(const InstanceId& aTo,
-                                      const GroupMember& aSubject,
-                                      bool aIsGreeting)
+void ReplicatedControl::SendJoin(const InstanceId& aTo,
+                                 const GroupMember& aSubject,
+                                 bool aIsGreeting)
 {
   const std::string* text = EndpointOf(aTo);
   const auto to = text == nullptr ? std::nullopt : ToEndpoint(*text);
@@ -748,9 +739,7 @@
     return;
   }
   nextJoin_ = now_ + kJoinInterval;
-  const GroupMember joiner{
-    self_, VotingRole::Learner, settings_.endpoint_, settings_.admin_
-  };
+  const GroupMember joiner = SelfAs(VotingRole::Learner);
   // Seeds may be out of date; the members of an earlier time may be too.
   std::set<InstanceId> asked;
   for (const ControlPeer& peer : settings_.voters_) {
@@ -761,7 +750,7 @@
   }
   asked.erase(self_.instance_);
   for (const InstanceId& instance : asked) {
-    SendJoin(instance, joiner);
+    SendJoin(instance, joiner, false);
   }
 }
 
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -251,14 +251,13 @@
   void ExpirePending();
   void AskToJoin();
   bool IsMember(const InstanceId& aInstance) const;
-  /// Asks an instance to have @p aJoiner taken into the group.
-  void SendJoin(const InstanceId& aTo, const GroupMember& aJoiner);
-  /// Tells a joiner where this leader is reached; it may know other members
-  /// only.
-  void Greet(const InstanceId& aJoiner);
-  void SendJoinFrame(const InstanceId& aTo,
-                     const GroupMember& aSubject,
-                     bool aIsGreeting);
+  /// @return this instance as a member.
+  GroupMember SelfAs(VotingRole aRole) const;
+  /// Asks an instance to have @p aSubject taken into the group; as a greeting,
+  /// tells a joiner where @p aSubject, the leader, is reached.
+  void SendJoin(const InstanceId& aTo,
+                const GroupMember& aSubject,
+                bool aIsGreeting);
   void PlanMembers();
   void StartSnapshot();
   void FailEverything(const absl::Status& aStatus);
--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -12,15 +12,25 @@
 /// How often the totals are logged.
 constexpr seconds kTrafficInterval{ 10 };
 
+/// @tparam Row has the endpoint of an instance's frames.
+template<typename Row>
+std::vector<std::string> EndpointsOf(const std::vector<Row>& aRows)
+{
+  std::vector<std::string> endpoints;
+  endpoints.reserve(aRows.size());
+  for (const Row& row : aRows) {
+    endpoints.push_back(row.endpoint_);
+  }
+  return endpoints;
+}
+
 FeedClientSettings PeersOf(const EdgeControlSettings& aSettings)
 {
   FeedClientSettings settings;
   settings.zones_ = ZoneMap(aSettings.zone_, {});
   settings.isControl_ = true;
   settings.ownEndpoint_ = aSettings.control_.endpoint_;
-  for (const ControlPeer& peer : aSettings.control_.voters_) {
-    settings.seeds_.push_back(peer.endpoint_);
-  }
+  settings.seeds_ = EndpointsOf(aSettings.control_.voters_);
   return settings;
 }
 
@@ -47,13 +57,8 @@
                              const std::shared_ptr<const std::string>& aText,
                              bool) { feed_.OnDocument(aVersion, aText); });
   control_.OnMembership([this](const Membership& aMembership) {
-    std::vector<std::string> endpoints;
-    endpoints.reserve(aMembership.members_.size());
-    for (const GroupMember& member : aMembership.members_) {
-      endpoints.push_back(member.endpoint_);
-    }
-    boost::asio::post(workers_.Context(0),
-                      [this, endpoints] { peers_.SetSeeds(endpoints, Now()); });
+    auto endpoints = EndpointsOf(aMembership.members_);
+    FollowPeers(endpoints);
     feed_.OnControls(std::move(endpoints));
   });
 }
@@ -91,16 +96,18 @@
 
 void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
 {
-  std::vector<std::string> endpoints;
-  endpoints.reserve(aSeeds.size());
-  for (const ControlPeer& seed : aSeeds) {
-    endpoints.push_back(seed.endpoint_);
-  }
-  boost::asio::post(workers_.Context(0),
-                    [this, endpoints] { peers_.SetSeeds(endpoints, Now()); });
+  FollowPeers(EndpointsOf(aSeeds));
   control_.SetSeeds(std::move(aSeeds));
 }
 
+void EdgeControl::FollowPeers(std::vector<std::string> aEndpoints)
+{
+  boost::asio::post(workers_.Context(0),
+                    [this, endpoints = std::move(aEndpoints)] {
+                      peers_.SetSeeds(endpoints, Now());
+                    });
+}
+
 void EdgeControl::ArmTraffic()
 {
   traffic_.expires_after(kTrafficInterval);
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -57,6 +57,8 @@
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
   void OnFeedEntries(uint32_t, bool, TimePoint) override {}
+  /// Hears other control instances for what servers tell them. Thread safe.
+  void FollowPeers(std::vector<std::string> aEndpoints);
   /// Logs what was sent to other instances, by kind.
   void ArmTraffic();
 
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -49,11 +49,7 @@
   if (version_.Value() == 0) {
     return false;
   }
-  const bool haveAllAnswered =
-    std::all_of(sources_.begin(), sources_.end(), [](const auto& aRow) {
-      return aRow.second.hasAnswered_;
-    });
-  return (haveAllAnswered && hasServers_) ||
+  return (HaveAllAnswered() && hasServers_) ||
          aNow - firstDocumentAt_ >= settings_.startTimeout_;
 }
 
@@ -107,21 +103,25 @@
 bool FeedClient::WantsText(const Source& aSource, TimePoint aNow)
 {
   // The first answer tells where the source is.
-  const bool isTooSoon =
-    aSource.distance_ != ZoneDistance::Same && !IsNearestKnown(aNow);
-  if (settings_.isControl_ || !aSource.hasAnswered_ || isTooSoon) {
+  if (settings_.isControl_ || !aSource.hasAnswered_ ||
+      IsTooSoon(aSource, aNow)) {
     return false;
   }
   ChooseTextSource(aNow);
   return textSource_ == nullptr || textSource_ == &aSource;
 }
 
-bool FeedClient::IsNearestKnown(TimePoint aNow) const
+bool FeedClient::HaveAllAnswered() const
 {
-  return aNow - startedAt_ >= settings_.settleTime_ ||
-         std::all_of(sources_.begin(), sources_.end(), [](const auto& aRow) {
-           return aRow.second.hasAnswered_;
-         });
+  return std::all_of(sources_.begin(), sources_.end(), [](const auto& aRow) {
+    return aRow.second.hasAnswered_;
+  });
+}
+
+bool FeedClient::IsTooSoon(const Source& aSource, TimePoint aNow) const
+{
+  return aSource.distance_ != ZoneDistance::Same &&
+         aNow - startedAt_ < settings_.settleTime_ && !HaveAllAnswered();
 }
 
 bool FeedClient::WantsServers(const Source& aSource, TimePoint aNow) const
@@ -129,7 +129,7 @@
   if (settings_.isControl_) {
     return true;
   }
-  if (aSource.distance_ != ZoneDistance::Same && !IsNearestKnown(aNow)) {
+  if (IsTooSoon(aSource, aNow)) {
     return false;
   }
   const bool isOverdue =
@@ -153,7 +153,7 @@
                            aNow >= aSource.renewalsAt_;
   const bool isNear = aSource.distance_ == ZoneDistance::Same;
   request.wait_ = isNear ? settings_.wait_ : settings_.farWait_;
-  if (!isNear && !IsNearestKnown(aNow)) {
+  if (IsTooSoon(aSource, aNow)) {
     request.wait_ = settings_.settleTime_;
   }
   if (!aSource.hasAnswered_) {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -144,8 +144,9 @@
     return aSource.wasLevel_ ? settings_.serversTimeout_
                              : settings_.firstServersTimeout_;
   }
-  /// @return whether the nearest source can be told by now.
-  bool IsNearestKnown(TimePoint aNow) const;
+  bool HaveAllAnswered() const;
+  /// @return whether a nearer source than this one may still become known.
+  bool IsTooSoon(const Source& aSource, TimePoint aNow) const;
   /// @return whether the next question to a source asks for changed servers.
   bool WantsServers(const Source& aSource, TimePoint aNow) const;
   FeedRequest MakeRequest(const Source& aSource, TimePoint aNow);
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -101,9 +101,7 @@
   const auto controls = builder.CreateVectorOfStrings(aReply.controls_);
   flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text;
   if (aReply.packedText_ != nullptr) {
-    text = builder.CreateVector(
-      reinterpret_cast<const uint8_t*>(aReply.packedText_->data()),
-      aReply.packedText_->size());
+    text = PutBytes(builder, *aReply.packedText_);
   }
   const auto zone = builder.CreateString(aReply.zone_.Value());
   const auto serverList = builder.CreateVector(servers);
@@ -136,8 +134,7 @@
   reply.cursor_ = (*root)->cursor();
   reply.version_ = DocumentVersion((*root)->version());
   if (const auto* text = (*root)->text()) {
-    reply.packedText_ = std::make_shared<const std::string>(
-      reinterpret_cast<const char*>(text->data()), text->size());
+    reply.packedText_ = std::make_shared<const std::string>(ToView(*text));
   }
   for (const wire::FeedServer* row : *(*root)->servers()) {
     reply.servers_.push_back(FromWire(*row));
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -113,6 +113,13 @@
 void FeedSource::OnDocument(DocumentVersion aVersion,
                             const std::shared_ptr<const std::string>& aText)
 {
+  {
+    // Each new leader tells the document again.
+    const std::lock_guard lock(mutex_);
+    if (aVersion <= version_) {
+      return;
+    }
+  }
   auto packed = std::make_shared<const std::string>(Compress(*aText));
   const std::lock_guard lock(mutex_);
   if (aVersion <= version_) {
@@ -169,7 +176,7 @@
     if (!request->isControl_) {
       entries_[aFrom] = Now();
     }
-    if (!HasOtherNews(*request) && !HasNewsOfServers(*request)) {
+    if (!HasNews(*request)) {
       timer = std::make_shared<Timer>(executor,
                                       std::min(request->wait_, kLongestWait));
       waiting_.emplace(timer, *request);
@@ -248,7 +255,7 @@
 {
   std::erase_if(waiting_, [this](const auto& aRow) {
     const auto& [timer, request] = aRow;
-    const bool isConcerned = HasOtherNews(request) || HasNewsOfServers(request);
+    const bool isConcerned = HasNews(request);
     if (isConcerned) {
       // A timer is its own executor's.
       asio::post(timer->get_executor(), [timer = timer] { timer->cancel(); });
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -61,6 +61,10 @@
   /// @return whether there is news other than of backend servers.
   bool HasOtherNews(const FeedRequest& aRequest) const;
   bool HasNewsOfServers(const FeedRequest& aRequest) const;
+  bool HasNews(const FeedRequest& aRequest) const
+  {
+    return HasOtherNews(aRequest) || HasNewsOfServers(aRequest);
+  }
   /// @return whether to wait a little for more news of servers.
   bool MayGather(const FeedRequest& aRequest);
   /// Notes that a server told this instance something new.
--- a/src/forward/Run.cpp
+++ b/src/forward/Run.cpp
@@ -92,12 +92,20 @@
   }
 }
 
+std::optional<PoolChoice> Run::ChooseServer(const Attempts& aAttempts,
+                                            TimePoint aNow)
+{
+  return context_.pools_.Choose(
+    aAttempts.service_,
+    aAttempts.tried_,
+    stats_.Work(),
+    context_.budgetOf_(aAttempts.service_).UsedShare(aNow),
+    aNow);
+}
+
 bool Run::TrySend(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow)
 {
-  const Duration work = stats_.Work();
-  ExtraBudget& budget = context_.budgetOf_(aAttempts.service_);
-  auto choice = context_.pools_.Choose(
-    aAttempts.service_, aAttempts.tried_, work, budget.UsedShare(aNow), aNow);
+  auto choice = ChooseServer(aAttempts, aNow);
   if (!choice) {
     return false;
   }
@@ -105,13 +113,13 @@
   exchange->request_ = request_;
   exchange->deadline_ =
     std::min(request_->deadline_, request_->startedAt_ + route_.timeout_);
-  exchange->expectedWork_ = work;
+  exchange->expectedWork_ = stats_.Work();
   exchange->listener_ = std::static_pointer_cast<Run>(shared_from_this());
   exchange->shard_ = aIndex;
   exchange->isExtra_ = aAttempts.sends_ > 0;
   ++aAttempts.sends_;
   if (aAttempts.sends_ == 1) {
-    budget.OnRequest(aNow);
+    context_.budgetOf_(aAttempts.service_).OnRequest(aNow);
   }
   aAttempts.tried_.push_back(choice->pool_.get());
   aAttempts.open_.push_back({ exchange, choice->pool_ });
@@ -147,13 +155,7 @@
   if (aAttempts.open_.empty()) {
     return;
   }
-  ExtraBudget& budget = context_.budgetOf_(aAttempts.service_);
-  const auto next = context_.pools_.Choose(aAttempts.service_,
-                                           aAttempts.tried_,
-                                           stats_.Work(),
-                                           budget.UsedShare(aNow),
-                                           aNow);
-  if (next) {
+  if (const auto next = ChooseServer(aAttempts, aNow)) {
     next->pool_->Prepare(aNow);
   }
 }
--- a/src/forward/Run.h
+++ b/src/forward/Run.h
@@ -122,6 +122,9 @@
   virtual TimePoint NextWake(TimePoint aNow) const = 0;
   virtual std::span<Attempts> AllAttempts() = 0;
 
+  /// @return the server that the next attempt goes to, if one is left.
+  std::optional<PoolChoice> ChooseServer(const Attempts& aAttempts,
+                                         TimePoint aNow);
   /// Sends one attempt, unless no server is left.
   bool TrySend(Attempts& aAttempts, uint32_t aIndex, TimePoint aNow);
   /// Opens a connection for a hedge that is likely, so that the hedge does not
--- a/src/instance/WireCodec.h
+++ b/src/instance/WireCodec.h
@@ -17,6 +17,21 @@
            aBuilder.GetSize() };
 }
 
+/// @return @p aBytes as a vector of a FlatBuffer.
+inline flatbuffers::Offset<flatbuffers::Vector<uint8_t>> PutBytes(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  std::string_view aBytes)
+{
+  return aBuilder.CreateVector(reinterpret_cast<const uint8_t*>(aBytes.data()),
+                               aBytes.size());
+}
+
+/// @return the bytes that PutBytes() wrote, valid as long as their FlatBuffer.
+inline std::string_view ToView(const flatbuffers::Vector<uint8_t>& aBytes)
+{
+  return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
+}
+
 inline std::string ToText(const flatbuffers::String* aText)
 {
   return aText == nullptr ? std::string() : aText->str();
