Time answers by the machine's link, the variation of transits and the timer's delay

Cause: an answer that waits for its last parts was sent 3 ms before the latest moment.

Change: LinkBacklog (policy) estimates when written bytes have left, from the rate that the platform states; LatestAnswerTime (policy) adds the terms. request_ended has left_ms, the time that was left.

--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -188,7 +188,7 @@
   socklen_t length = sizeof(info);
   const int failed = ::getsockopt(
     socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
-  // Without a measurement, only ForwardSettings::responseMargin_ covers the
+  // Without a measurement, only AnswerTimingSettings::margin_ covers the
   // transit time.
   return failed != 0 ? Duration::zero() : Duration(microseconds(info.tcpi_rtt));
 }
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -3,8 +3,10 @@
 
 #include "core/Ids.h"
 #include "core/Time.h"
+#include "policy/AnswerTiming.h"
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
+#include "policy/LinkBacklog.h"
 #include "policy/ZoneMap.h"
 
 #include <string>
@@ -63,14 +65,8 @@
   /// request needs to succeed, and one that only improves the answer.
   double requiredReserve_ = 0;
   double optionalReserve_ = 0.4;
-  /// Time by which an answer is sent before the latest possible moment, in
-  /// addition to its transit time to the caller: timers fire slightly late, and
-  /// merging and writing take time.
-  milliseconds responseMargin_{ 3 };
-  /// Maximum of the additional margin that is used while this process waits for
-  /// CPU time: its work before and after the decision is delayed as its timers
-  /// are.
-  milliseconds maxLagMargin_{ 25 };
+  LinkSettings link_;
+  AnswerTimingSettings answerTiming_;
   /// Time for which an abandoned exchange may continue before its connection is
   /// closed. Closing makes the backend server drop the work but costs a new
   /// connection.
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -82,12 +82,14 @@
   , headerNames_(std::move(aHeaderNames))
   , metrics_(aMetrics)
   , timers_(aContext)
+  , link_(settings_.link_)
   , pools_(aContext, settings_, headerNames_, aMetrics, aSeed)
   , instances_(kAssumedInstances)
   , context_{ settings_,
               headerNames_,
               pools_,
               timers_,
+              link_,
               [this](const ServiceName& aService) -> ExtraAttemptBudget& {
                 return BudgetOf(aService);
               } }
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -75,6 +75,7 @@
   const HeaderNames headerNames_;
   Metrics& metrics_;
   TimerQueue timers_;
+  LinkBacklog link_;
   BackendPoolSet pools_;
   std::unordered_map<ServiceName, ExtraAttemptBudget> budgets_;
   uint32_t instances_;
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -23,7 +23,6 @@
   , target_(aTarget)
   , attempts_(aTarget.shards_.size())
   , parts_(aTarget.shards_.size())
-  , objectiveAt_(ObjectiveAt())
 {
   for (size_t i = 0; i < attempts_.size(); ++i) {
     attempts_[i].service_ = aTarget.shards_[i];
@@ -103,23 +102,32 @@
 
 TimePoint GatherRequestHandler::NextTimerAt(TimePoint aNow) const
 {
-  TimePoint next = NextGatherEvaluation(Progress(), aNow);
+  TimePoint next = NextGatherEvaluation(Progress(aNow), aNow);
   for (const ServiceAttempts& attempts : attempts_) {
     next = std::min({ next, attempts.preconnectAt_, attempts.hedgeAt_ });
   }
   return next;
 }
 
-GatherProgress GatherRequestHandler::Progress() const
+GatherProgress GatherRequestHandler::Progress(TimePoint aNow) const
 {
   return { static_cast<uint32_t>(parts_.size()),
            included_,
            missing_,
            target_.leastShare_,
-           objectiveAt_,
+           ObjectiveAt(AnswerBytes(), aNow),
            responseDeadline_ };
 }
 
+size_t GatherRequestHandler::AnswerBytes() const
+{
+  // Status line and header names; a signature with its separator.
+  constexpr size_t kHeadBytes = 250;
+  constexpr size_t kSignatureBytes = 34;
+  return kHeadBytes + kSignatureBytes * parts_.size() +
+         kRecordBytes * target_.topRecords_;
+}
+
 bool GatherRequestHandler::NeedsMoreParts() const
 {
   return included_ < RequiredShards(static_cast<uint32_t>(parts_.size()),
@@ -128,7 +136,7 @@
 
 void GatherRequestHandler::EvaluateProgress(TimePoint aNow)
 {
-  switch (EvaluateGather(Progress(), aNow)) {
+  switch (EvaluateGather(Progress(aNow), aNow)) {
     case GatherVerdict::Wait:
       return;
     case GatherVerdict::AnswerWhole:
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -44,7 +44,9 @@
 
   void SetPartState(uint32_t aShard, PartState aState, TimePoint aNow);
   void EvaluateProgress(TimePoint aNow);
-  GatherProgress Progress() const;
+  GatherProgress Progress(TimePoint aNow) const;
+  /// @return the estimated size of the merged answer.
+  size_t AnswerBytes() const;
   /// @return whether more parts are needed for a successful answer.
   bool NeedsMoreParts() const;
   ForwardAnswer MergeParts() const;
@@ -53,7 +55,6 @@
   /// One element per shard, in the order of GatherTarget::shards_.
   std::vector<ServiceAttempts> attempts_;
   std::vector<Part> parts_;
-  TimePoint objectiveAt_;
   uint32_t included_ = 0;
   uint32_t missing_ = 0;
 };
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -22,6 +22,15 @@
                                  aShare);
 }
 
+/// @return the approximate size of a request as it is sent to a backend server.
+size_t RequestBytes(const ForwardRequest& aRequest)
+{
+  // Request line and the header lines that this system adds.
+  constexpr size_t kAddedBytes = 110;
+  return aRequest.method_.size() + aRequest.target_.size() +
+         aRequest.headers_.size() + aRequest.body_.size() + kAddedBytes;
+}
+
 } // namespace
 
 Duration RouteStats::TypicalServerTime() const
@@ -67,11 +76,25 @@
   , request_(std::move(aRequest))
   , responseDeadline_(
       std::min(request_->deadline_, request_->startedAt_ + aRoute.timeout_) -
-      request_->returnDelay_ - aContext.settings_.responseMargin_)
+      request_->returnDelay_ - aContext.settings_.answerTiming_.margin_)
   , onComplete_(std::move(aOnComplete))
 {
 }
 
+TimePoint RequestHandler::ObjectiveAt(size_t aAnswerBytes,
+                                      TimePoint aNow) const
+{
+  AnswerTiming timing;
+  timing.callerStartedAt_ = request_->callerStartedAt_;
+  timing.startedAt_ = request_->startedAt_;
+  timing.objective_ = route_.objective_;
+  timing.returnDelay_ = request_->returnDelay_;
+  timing.linkDelay_ = context_.link_.DelayOf(aAnswerBytes, aNow);
+  timing.timerLag_ = context_.timers_.Lag();
+  timing.timerCoalescing_ = TimerQueue::kCoalesceDelay;
+  return LatestAnswerTime(context_.settings_.answerTiming_, timing);
+}
+
 void RequestHandler::OnTimer(TimePoint aNow)
 {
   if (isDone_) {
@@ -147,6 +170,7 @@
     aAttempts.preconnectAt_ =
       aNow + Fraction(delay, context_.settings_.preconnectShare_);
   }
+  context_.link_.OnWrite(RequestBytes(*request_), aNow);
   choice->pool_->Send(std::move(exchange), aNow);
   return true;
 }
@@ -332,7 +356,9 @@
     return;
   }
   isDone_ = true;
-  LogCompletion(aAnswer, aNow);
+  const size_t answerBytes = aAnswer.headers_.size() + aAnswer.body_.size();
+  LogCompletion(aAnswer, ObjectiveAt(answerBytes, aNow) - aNow, aNow);
+  context_.link_.OnWrite(answerBytes, aNow);
   for (ServiceAttempts& attempts : AllAttempts()) {
     AbandonOutstanding(attempts, aNow);
   }
@@ -341,13 +367,15 @@
   onComplete_(std::move(aAnswer));
 }
 
-void RequestHandler::LogCompletion(const ForwardAnswer& aAnswer, TimePoint aNow)
+void RequestHandler::LogCompletion(const ForwardAnswer& aAnswer,
+                                   Duration aTimeLeft,
+                                   TimePoint aNow)
 {
   const Duration took = aNow - request_->startedAt_;
   const bool isLocal = aAnswer.source_ == AnswerSource::NotRun ||
                        aAnswer.source_ == AnswerSource::Unknown;
   const bool isUnremarkable = !isLocal && hedges_ == 0 && retries_ == 0 &&
-                              took <= route_.objective_ &&
+                              aTimeLeft >= Duration::zero() &&
                               aAnswer.status_ < 400;
   if (isUnremarkable) {
     return;
@@ -359,6 +387,7 @@
     .Add("source", NameOf(aAnswer.source_))
     .Add("status", aAnswer.status_)
     .Add("took_ms", ToMilliseconds(took))
+    .Add("left_ms", ToMilliseconds(aTimeLeft))
     .Add("hedges", hedges_)
     .Add("retries", retries_);
   std::string faults;
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -69,6 +69,7 @@
   const HeaderNames& headerNames_;
   BackendPoolSet& pools_;
   TimerQueue& timers_;
+  LinkBacklog& link_;
   std::function<ExtraAttemptBudget&(const ServiceName&)> budgetOf_;
 };
 
@@ -179,15 +180,10 @@
   ForwardAnswer FailureAnswer(std::string_view aReason, bool aIsTimedOut);
 
   const ForwardRequest& Request() const { return *request_; }
+  /// @param aAnswerBytes estimated size of the answer.
   /// @return the latest time at which an answer can be sent and still reach the
   /// caller within the route's objective.
-  TimePoint ObjectiveAt() const
-  {
-    return request_->callerStartedAt_ + route_.objective_ -
-           request_->returnDelay_ - context_.settings_.responseMargin_ -
-           std::min<Duration>(4 * context_.timers_.Lag(),
-                              context_.settings_.maxLagMargin_);
-  }
+  TimePoint ObjectiveAt(size_t aAnswerBytes, TimePoint aNow) const;
 
   RequestHandlerContext& context_;
   const std::shared_ptr<const RouteTable> table_;
@@ -201,7 +197,11 @@
   uint32_t retries_ = 0;
 
 private:
-  void LogCompletion(const ForwardAnswer& aAnswer, TimePoint aNow);
+  /// @param aTimeLeft time that was left until the answer would have been too
+  /// late for the objective; negative when it is late.
+  void LogCompletion(const ForwardAnswer& aAnswer,
+                     Duration aTimeLeft,
+                     TimePoint aNow);
   /// @return the share of the budget, 0 to 1, that such an extra attempt must
   /// leave unused.
   double BudgetReserve(bool aIsRequired) const;
--- a/src/forward/TimerQueue.h
+++ b/src/forward/TimerQueue.h
@@ -33,6 +33,11 @@
   /// this process waits for CPU time. Decays with each call.
   Duration Lag() const { return lag_; }
 
+  /// Delay added to each timer, so that tasks due close together share a
+  /// wake-up. It is shorter than the shortest delay that matters, that of a
+  /// hedge.
+  static constexpr milliseconds kCoalesceDelay{ 1 };
+
   /// Stops calling tasks.
   void Stop();
 
@@ -44,11 +49,6 @@
     bool operator<(const Entry& aOther) const { return time_ > aOther.time_; }
   };
 
-  /// Delay added to each timer, so that tasks due close together share a
-  /// wake-up. It is shorter than the shortest delay that matters, that of a
-  /// hedge.
-  static constexpr milliseconds kCoalesceDelay{ 1 };
-
   void ScheduleTimer();
   void Fire();
 
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -186,6 +186,7 @@
     "internal_ports":[7740,7755],
     "seeds":["10.1.0.42:8224","10.2.0.36:8224","not an address"],
     "bootstrap":true,"data_dir":"/data/control","tolerate":{"machines":2},
+    "limits":{"cpu_share":0.12,"link_mbps":20.0},
     "bounds":{"grace_s":8,"retry_budget_ratio":0.1,"retry_window_s":5,
               "retry_budget_slack":12},
     "something":"new"})";
@@ -197,6 +198,7 @@
   CHECK(boot->control_.port() == 8224);
   CHECK(boot->callers_.port() == 0);
   CHECK(boot->framesPort_ == 7740);
+  CHECK(boot->linkMegabitsPerSecond_ == 20);
   CHECK(boot->controlFrameEndpoints_ ==
         std::vector<std::string>{ "10.1.0.42:7740", "10.2.0.36:7740" });
   CHECK(boot->isFirstStart_);
