Accept only replies that certainly belong to the request; bound replies without end

Cause: (1) A reply without a request id was accepted on a connection in use again, so a late second copy of the reply to an earlier request reached the next caller; a caller that retries with the same id could get a copy of the reply to its earlier attempt. (2) A server in trouble could send a body that ends with the connection up to 16 MiB on each connection, and a chunk header, a trailer or informational replies without any limit until the deadline.

Change: a connection is not used again after a reply without an id, nor for a request with the id of the one before, and a reply without an id is accepted as a connection's first only.

--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -24,6 +24,7 @@
   , settings_(aSettings)
   , headerNames_(aHeaderNames)
   , metrics_(aMetrics)
+  , replyMemory_(aSettings.replyMemory_)
   , random_(aSeed)
 {
 }
@@ -143,6 +144,7 @@
     settings_.serverConnections_,
     headerNames_,
     metrics_,
+    replyMemory_,
     aAnnouncement,
     *endpoint,
     settings_.zones_.DistanceTo(aAnnouncement.zone_),
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -79,6 +79,7 @@
   const ForwardSettings& settings_;
   const HeaderNames& headerNames_;
   ServerConnectionPoolMetrics metrics_;
+  ReplyMemory replyMemory_;
   RandomSource random_;
   std::unordered_map<BackendId, std::shared_ptr<ServerConnectionPool>> byId_;
   std::unordered_map<ServiceName,
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -146,6 +146,8 @@
   std::shared_ptr<const ForwardRequest> request_;
   /// Time until which a reply is of use; sent to the server as the time left.
   TimePoint deadline_{};
+  /// Maximum body size of a reply whose length the server does not state.
+  size_t maxUnsizedReplyBytes_ = size_t{ 1024 } * 1024;
   /// Usual server time of the route's requests.
   Duration expectedServerTime_{};
   std::weak_ptr<ExchangeListener> listener_;
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -7,6 +7,7 @@
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
+#include "policy/ReplyLimits.h"
 #include "policy/ZoneMap.h"
 
 #include <string>
@@ -65,6 +66,8 @@
   /// request needs to succeed, and one that only improves the answer.
   double requiredReserve_ = 0;
   double optionalReserve_ = 0.4;
+  /// Memory of incomplete replies of all backend servers together.
+  ReplyMemorySettings replyMemory_;
   LinkSettings link_;
   AnswerTimingSettings answerTiming_;
   /// Time for which an abandoned exchange may continue before its connection is
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -81,8 +81,7 @@
 {
 }
 
-TimePoint RequestHandler::ObjectiveAt(size_t aAnswerBytes,
-                                      TimePoint aNow) const
+TimePoint RequestHandler::ObjectiveAt(size_t aAnswerBytes, TimePoint aNow) const
 {
   AnswerTiming timing;
   timing.callerStartedAt_ = request_->callerStartedAt_;
@@ -140,6 +139,7 @@
   exchange->request_ = request_;
   exchange->deadline_ =
     std::min(request_->deadline_, request_->startedAt_ + route_.timeout_);
+  exchange->maxUnsizedReplyBytes_ = stats_.replySize_.MaxBytes();
   exchange->expectedServerTime_ = stats_.TypicalServerTime();
   exchange->listener_ =
     std::static_pointer_cast<RequestHandler>(shared_from_this());
@@ -278,6 +278,7 @@
   }
   if (aExchange.outcome_ == ExchangeOutcome::Answered &&
       aExchange.reply_.IsSuccess()) {
+    stats_.replySize_.OnReply(aExchange.reply_.body_.size());
     const Duration took = aNow - aExchange.sentAt_;
     stats_.serverTime_.Add(
       std::max(Duration::zero(), took - pool->State(aNow).roundTrip_));
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -56,6 +56,7 @@
   /// Time from writing a request to its complete reply, less the network round
   /// trip: queueing and execution at the backend server.
   DecayingQuantile serverTime_{ 400 };
+  ReplySizeLimit replySize_;
 
   /// @return the median server time, or a default while there are too few
   /// samples.
--- a/src/forward/ServerConnection.cpp
+++ b/src/forward/ServerConnection.cpp
@@ -21,6 +21,9 @@
 /// closes it.
 constexpr double kKeepAliveShare = 0.75;
 
+/// Maximum informational (1xx) replies to one request.
+constexpr uint32_t kMaxInformationalReplies = 8;
+
 template<typename T>
 bool ParseNumber(std::string_view& aText, T& aValue)
 {
@@ -58,6 +61,7 @@
                                    std::string aServer,
                                    const ServerConnectionSettings& aSettings,
                                    const HeaderNames& aHeaderNames,
+                                   ReplyMemory& aReplyMemory,
                                    ServerConnectionListener& aListener)
   : endpoint_(std::move(aEndpoint))
   , server_(std::move(aServer))
@@ -66,6 +70,7 @@
   , listener_(&aListener)
   , socket_(aContext.get_executor())
   , idleLimit_(aSettings.idleTimeout_)
+  , replyMemory_(aReplyMemory)
 {
 }
 
@@ -127,6 +132,9 @@
   exchange_ = std::move(aExchange);
   SetState(ServerConnectionState::Busy, aNow);
   const ForwardRequest& request = *exchange_->request_;
+  lastRequestId_ = request.id_;
+  ++requestsSent_;
+  informationalReplies_ = 0;
   if (request.isHead_) {
     StartParser();
   }
@@ -207,6 +215,11 @@
     return;
   }
   Parse(now);
+  if (state_ == ServerConnectionState::Busy) {
+    if (const auto fault = CheckReplySize(); fault != ExchangeFault::None) {
+      Close(fault, now);
+    }
+  }
   if (state_ != ServerConnectionState::Closed) {
     Read();
   }
@@ -230,6 +243,10 @@
                                  parser_->get().result_int() >= 100 &&
                                  parser_->get().result_int() < 200;
     if (isInformational) {
+      if (++informationalReplies_ > kMaxInformationalReplies) {
+        Close(ExchangeFault::Malformed, aNow);
+        return;
+      }
       StartParser();
     }
   }
@@ -238,6 +255,24 @@
   }
 }
 
+ExchangeFault ServerConnection::CheckReplySize()
+{
+  // The parser takes the header and the body from the buffer as they arrive,
+  // but leaves an incomplete chunk header or trailer there.
+  if (buffer_.size() > settings_.maxReplyHeaderBytes_) {
+    return ExchangeFault::Malformed;
+  }
+  const size_t bodyBytes = parser_->get().body().size();
+  const bool isUnsized =
+    parser_->is_header_done() && !parser_->content_length().has_value();
+  if (isUnsized && bodyBytes > exchange_->maxUnsizedReplyBytes_) {
+    return ExchangeFault::TooLarge;
+  }
+  return replyMemory_.Resize(heldReplyBytes_, bodyBytes + buffer_.size())
+           ? ExchangeFault::None
+           : ExchangeFault::TooLarge;
+}
+
 void ServerConnection::OnReadError(const Error& aError, TimePoint aNow)
 {
   if (state_ == ServerConnectionState::Busy && aError == asio::error::eof &&
@@ -274,8 +309,10 @@
 void ServerConnection::OnReply(TimePoint aNow)
 {
   auto reply = parser_->release();
-  const bool isUnusable =
-    buffer_.size() > 0 || isWriting_ || !reply.keep_alive() || reply.need_eof();
+  replyMemory_.Resize(heldReplyBytes_, 0);
+  const bool isUnusable = buffer_.size() > 0 || isWriting_ ||
+                          !reply.keep_alive() || reply.need_eof() ||
+                          reply.count(headerNames_.requestId_) == 0;
   ApplyKeepAlive(reply);
   if (const auto load = reply.find(headerNames_.load_); load != reply.end()) {
     load_ = ParseServerLoad({ load->value().data(), load->value().size() });
@@ -312,7 +349,11 @@
   };
   const std::string_view id = header(headerNames_.requestId_);
   const unsigned status = aReply.result_int();
-  if (!id.empty() && id != aExchange.request_->id_.Value()) {
+  // Without an id, only a connection's first reply certainly belongs to the
+  // request.
+  const bool isOwnReply =
+    id.empty() ? requestsSent_ == 1 : id == aExchange.request_->id_.Value();
+  if (!isOwnReply) {
     aExchange.outcome_ = ExchangeOutcome::Failed;
     aExchange.fault_ = ExchangeFault::RequestIdMismatch;
     return;
@@ -368,6 +409,7 @@
 {
   listener_ = nullptr;
   exchange_ = nullptr;
+  replyMemory_.Resize(heldReplyBytes_, 0);
   Error ignored;
   socket_.close(ignored);
   state_ = ServerConnectionState::Closed;
@@ -385,6 +427,7 @@
   Error ignored;
   socket_.close(ignored);
   SetState(ServerConnectionState::Closed, aNow);
+  replyMemory_.Resize(heldReplyBytes_, 0);
   if (listener_ == nullptr) {
     return;
   }
--- a/src/forward/ServerConnection.h
+++ b/src/forward/ServerConnection.h
@@ -4,6 +4,7 @@
 #include "forward/Exchange.h"
 #include "forward/ForwardSettings.h"
 #include "forward/HeaderNames.h"
+#include "policy/ReplyLimits.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -58,8 +59,11 @@
 
 /// One HTTP/1.1 connection to one backend server, with one exchange at a time.
 /// It is closed after bytes beyond a reply, a reply to another request, or any
-/// protocol error, so that no reply is delivered to the wrong request. Not
-/// thread-safe.
+/// protocol error, so that no reply is delivered to the wrong request. A server
+/// may send a second copy of a reply late; the request id in it tells the copy
+/// from the reply to a later request. Hence a connection is not used again
+/// after a reply without an id, and a reply without an id is not accepted on a
+/// connection that was used before. Not thread-safe.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
@@ -68,6 +72,7 @@
                    std::string aServer,
                    const ServerConnectionSettings& aSettings,
                    const HeaderNames& aHeaderNames,
+                   ReplyMemory& aReplyMemory,
                    ServerConnectionListener& aListener);
 
   void Connect(TimePoint aNow);
@@ -86,6 +91,8 @@
   /// @return the time after which the connection is closed when idle.
   milliseconds IdleLimit() const { return idleLimit_; }
   const std::optional<ReportedServerLoad>& Load() const { return load_; }
+  /// @return the id of the latest request sent, empty before the first.
+  const RequestId& LastRequestId() const { return lastRequestId_; }
   /// @return the duration of the connect.
   Duration ConnectTime() const { return connectTime_; }
 
@@ -102,6 +109,8 @@
   void Read();
   void OnRead(const Error& aError, size_t aBytes);
   void Parse(TimePoint aNow);
+  /// @return the fault of an incomplete reply that exceeds a limit, or None.
+  ExchangeFault CheckReplySize();
   void OnReadError(const Error& aError, TimePoint aNow);
   /// @return whether the server reset the connection right after accepting it,
   /// before anything was read.
@@ -131,6 +140,13 @@
   milliseconds idleLimit_;
   std::optional<ReportedServerLoad> load_;
   std::shared_ptr<Exchange> exchange_;
+  RequestId lastRequestId_;
+  uint32_t requestsSent_ = 0;
+  /// Informational (1xx) replies to the current request.
+  uint32_t informationalReplies_ = 0;
+  ReplyMemory& replyMemory_;
+  /// Bytes of the incomplete reply that are counted in replyMemory_.
+  size_t heldReplyBytes_ = 0;
   /// Serialised request.
   std::string output_;
   size_t written_ = 0;
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -71,6 +71,7 @@
   const ServerConnectionSettings& aSettings,
   const HeaderNames& aHeaderNames,
   ServerConnectionPoolMetrics& aMetrics,
+  ReplyMemory& aReplyMemory,
   const ServerAnnouncement& aAnnouncement,
   boost::asio::ip::tcp::endpoint aEndpoint,
   ZoneDistance aDistance,
@@ -79,6 +80,7 @@
   , settings_(aSettings)
   , headerNames_(aHeaderNames)
   , metrics_(aMetrics)
+  , replyMemory_(aReplyMemory)
   , endpoint_(std::move(aEndpoint))
   , distance_(aDistance)
   , roundTrip_(InitialRoundTrip(aDistance))
@@ -213,6 +215,13 @@
     const auto connection = idleConnections_.back();
     idleConnections_.pop_back();
     const auto exchange = waiting_.front();
+    if (connection->LastRequestId() == exchange->request_->id_) {
+      // A late second copy of the earlier attempt's reply would carry the same
+      // id as the reply to this one.
+      connection->CloseWithoutNotice();
+      RemoveConnection(*connection);
+      continue;
+    }
     waiting_.pop_front();
     exchange->outstandingAtSend_ = static_cast<uint32_t>(sentTimes_.size());
     sentTimes_.insert(aNow);
@@ -233,6 +242,7 @@
                                        announcement_.id_.Value(),
                                        settings_,
                                        headerNames_,
+                                       replyMemory_,
                                        *this);
   connections_.push_back(connection);
   ++connecting_;
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -39,6 +39,7 @@
                        const ServerConnectionSettings& aSettings,
                        const HeaderNames& aHeaderNames,
                        ServerConnectionPoolMetrics& aMetrics,
+                       ReplyMemory& aReplyMemory,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ZoneDistance aDistance,
@@ -117,6 +118,7 @@
   const ServerConnectionSettings& settings_;
   const HeaderNames& headerNames_;
   ServerConnectionPoolMetrics& metrics_;
+  ReplyMemory& replyMemory_;
   ServerAnnouncement announcement_;
   const boost::asio::ip::tcp::endpoint endpoint_;
   const ZoneDistance distance_;
--- a/src/policy/AnswerTiming.cpp
+++ b/src/policy/AnswerTiming.cpp
@@ -7,10 +7,9 @@
 TimePoint LatestAnswerTime(const AnswerTimingSettings& aSettings,
                            const AnswerTiming& aTiming)
 {
-  const Duration lagMargin =
-    std::min<Duration>(duration_cast<Duration>(aTiming.timerLag_ *
-                                               aSettings.timerLagFactor_),
-                       aSettings.maxTimerLagMargin_);
+  const Duration lagMargin = std::min<Duration>(
+    duration_cast<Duration>(aTiming.timerLag_ * aSettings.timerLagFactor_),
+    aSettings.maxTimerLagMargin_);
   const Duration transits =
     aTiming.startedAt_ - aTiming.callerStartedAt_ + aTiming.returnDelay_;
   const auto variation =
--- a/src/policy/AnswerTiming.h
+++ b/src/policy/AnswerTiming.h
@@ -11,8 +11,8 @@
   /// merging and writing take time.
   milliseconds margin_{ 3 };
   /// Share, 0 to 1, of the transit times between the caller and this instance
-  /// by which they may exceed their estimate. TCP reports a smoothed round trip,
-  /// while each packet is delayed by a different amount.
+  /// by which they may exceed their estimate. TCP reports a smoothed round
+  /// trip, while each packet is delayed by a different amount.
   double transitVariation_ = 0.125;
   /// Multiple of the recent delay of timer callbacks that is added to the
   /// margin, and its maximum: work before and after a decision is delayed as
--- a/tests/forward/ScriptedServer.h
+++ b/tests/forward/ScriptedServer.h
@@ -24,13 +24,18 @@
 struct ScriptedReply
 {
   /// Raw bytes to send.
-  std::string bytes_;
+  std::string bytes_{};
   milliseconds delay_{ 0 };
   bool closeAfter_ = false;
   /// Resets the connection after the reply.
   bool resetAfter_ = false;
   /// Sends nothing and keeps the connection open.
   bool isSilent_ = false;
+  /// Sent again and again after bytes_ until the connection is closed.
+  std::string endlessBytes_{};
+  /// Sent on the same connection when its next request has arrived, before the
+  /// reply to that request.
+  std::string lateBytes_{};
 };
 
 /// A backend server that sends replies chosen by a test.
@@ -59,6 +64,8 @@
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
   size_t Connections() const { return connections_; }
+  /// @return bytes sent as ScriptedReply::endlessBytes_.
+  size_t EndlessBytesSent() const { return endlessBytesSent_; }
   std::vector<std::string> Requests() const
   {
     const std::lock_guard lock(mutex_);
@@ -85,6 +92,7 @@
     auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
     boost::asio::steady_timer timer(pool_.Context(0));
     std::string buffer;
+    std::string lateBytes;
     while (true) {
       const size_t head = co_await boost::asio::async_read_until(
         aSocket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", token);
@@ -109,7 +117,10 @@
         number = requests_.size();
         requests_.push_back(request);
       }
+      co_await boost::asio::async_write(
+        aSocket, boost::asio::buffer(lateBytes), token);
       const ScriptedReply reply = script_(request, number);
+      lateBytes = reply.lateBytes_;
       if (reply.isSilent_) {
         timer.expires_after(seconds(30));
         co_await timer.async_wait(token);
@@ -121,6 +132,10 @@
       }
       co_await boost::asio::async_write(
         aSocket, boost::asio::buffer(reply.bytes_), token);
+      while (!reply.endlessBytes_.empty() && !error) {
+        endlessBytesSent_ += co_await boost::asio::async_write(
+          aSocket, boost::asio::buffer(reply.endlessBytes_), token);
+      }
       if (reply.resetAfter_) {
         aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
       }
@@ -141,6 +156,7 @@
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::atomic<size_t> connections_{ 0 };
+  std::atomic<size_t> endlessBytesSent_{ 0 };
   WorkerPool pool_;
   boost::asio::ip::tcp::acceptor acceptor_;
 };
--- a/tests/policy/AnswerTimingTest.cpp
+++ b/tests/policy/AnswerTimingTest.cpp
@@ -70,13 +70,19 @@
     bool isFirstOnConnection_;
   };
   const Row rows[] = {
-    { "a small answer on a fast link", milliseconds(0), milliseconds(1), false },
+    { "a small answer on a fast link",
+      milliseconds(0),
+      milliseconds(1),
+      false },
     { "3.4 KB over 8 Mbit/s", microseconds(3600), milliseconds(1), false },
     { "an answer behind a fan-out of 27 KB at 20 Mbit/s",
       milliseconds(13),
       milliseconds(1),
       false },
-    { "the first request of a connection", milliseconds(2), milliseconds(1), true },
+    { "the first request of a connection",
+      milliseconds(2),
+      milliseconds(1),
+      true },
     { "timers 10 ms late by design", milliseconds(0), milliseconds(10), false },
   };
   for (const Row& row : rows) {
@@ -84,8 +90,7 @@
     AnswerTiming timing = Timing();
     timing.linkDelay_ = row.linkDelay_;
     timing.timerCoalescing_ = row.timerCoalescing_;
-    const Duration transitIn =
-      milliseconds(row.isFirstOnConnection_ ? 9 : 3);
+    const Duration transitIn = milliseconds(row.isFirstOnConnection_ ? 9 : 3);
     timing.callerStartedAt_ = kStart - transitIn;
     // Each transit takes an eighth more than its estimate.
     const Duration excess = (transitIn + timing.returnDelay_) / 8;
@@ -93,7 +98,8 @@
   }
 }
 
-TEST_CASE("answer timing: a process that waits for the processor answers sooner")
+TEST_CASE(
+  "answer timing: a process that waits for the processor answers sooner")
 {
   AnswerTiming timing = Timing();
   const TimePoint usual = LatestAnswerTime({}, timing);
@@ -105,20 +111,19 @@
 
 TEST_CASE("answer timing: no delay makes the answer later")
 {
-  const bool holds =
-    rc::check("more delay never allows a later answer", [] {
-      const auto duration = [] {
-        return Duration(microseconds(*rc::gen::inRange(0, 50000)));
-      };
-      AnswerTiming timing = Timing();
-      timing.linkDelay_ = duration();
-      timing.timerLag_ = duration();
-      timing.timerCoalescing_ = duration();
-      AnswerTiming slower = timing;
-      slower.linkDelay_ += duration();
-      slower.timerLag_ += duration();
-      slower.timerCoalescing_ += duration();
-      RC_ASSERT(LatestAnswerTime({}, slower) <= LatestAnswerTime({}, timing));
-    });
+  const bool holds = rc::check("more delay never allows a later answer", [] {
+    const auto duration = [] {
+      return Duration(microseconds(*rc::gen::inRange(0, 50000)));
+    };
+    AnswerTiming timing = Timing();
+    timing.linkDelay_ = duration();
+    timing.timerLag_ = duration();
+    timing.timerCoalescing_ = duration();
+    AnswerTiming slower = timing;
+    slower.linkDelay_ += duration();
+    slower.timerLag_ += duration();
+    slower.timerCoalescing_ += duration();
+    RC_ASSERT(LatestAnswerTime({}, slower) <= LatestAnswerTime({}, timing));
+  });
   CHECK(holds);
 }
