Estimate the usual lateness of timers instead of holding the greatest recent one

Cause: the margin of an answer was four times the greatest recent lateness, which halves only after 50 timers.

--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -89,7 +89,7 @@
   timing.objective_ = route_.objective_;
   timing.returnDelay_ = request_->returnDelay_;
   timing.linkDelay_ = context_.link_.DelayOf(aAnswerBytes, aNow);
-  timing.timerLag_ = context_.timers_.Lag();
+  timing.timerLateness_ = context_.timers_.UsualLateness();
   timing.timerCoalescing_ = TimerQueue::kCoalesceDelay;
   return LatestAnswerTime(context_.settings_.answerTiming_, timing);
 }
--- a/src/forward/TimerQueue.cpp
+++ b/src/forward/TimerQueue.cpp
@@ -39,10 +39,7 @@
 void TimerQueue::Fire()
 {
   const TimePoint now = Now();
-  // Gives the lag a half-life of about 50 calls.
-  constexpr auto kLagDecayDivisor = 70;
-  lag_ = std::max(now - timerAt_ - Duration(kCoalesceDelay),
-                  lag_ - lag_ / kLagDecayDivisor);
+  lateness_.OnTimer(now - timerAt_ - Duration(kCoalesceDelay));
   timerAt_ = TimePoint::max();
   // Due tasks are removed first, so that a task added by one of them runs
   // later, even if it is already due.
--- a/src/forward/TimerQueue.h
+++ b/src/forward/TimerQueue.h
@@ -1,7 +1,7 @@
 #ifndef FORWARD_TIMERQUEUE_H
 #define FORWARD_TIMERQUEUE_H
 
-#include "core/Time.h"
+#include "policy/TimerLateness.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,9 +29,8 @@
   /// Calls @p aTask at @p aTime or slightly later, never from within Add().
   void Add(TimePoint aTime, std::weak_ptr<TimedTask> aTask);
 
-  /// @return the recent maximum delay of timer callbacks, which shows how long
-  /// this process waits for CPU time. Decays with each call.
-  Duration Lag() const { return lag_; }
+  /// @return how late timers usually fire, beyond kCoalesceDelay.
+  Duration UsualLateness() const { return lateness_.Usual(); }
 
   /// Delay added to each timer, so that tasks due close together share a
   /// wake-up. It is shorter than the shortest delay that matters, that of a
@@ -55,7 +54,7 @@
   boost::asio::steady_timer timer_;
   std::priority_queue<Entry> entries_;
   TimePoint timerAt_ = TimePoint::max();
-  Duration lag_{};
+  TimerLateness lateness_;
   bool isFiring_ = false;
   bool isStopped_ = false;
 };
--- a/src/policy/AnswerTiming.cpp
+++ b/src/policy/AnswerTiming.cpp
@@ -7,16 +7,17 @@
 TimePoint LatestAnswerTime(const AnswerTimingSettings& aSettings,
                            const AnswerTiming& aTiming)
 {
-  const Duration lagMargin = std::min<Duration>(
-    duration_cast<Duration>(aTiming.timerLag_ * aSettings.timerLagFactor_),
-    aSettings.maxTimerLagMargin_);
+  const Duration latenessMargin =
+    std::min<Duration>(duration_cast<Duration>(aTiming.timerLateness_ *
+                                               aSettings.timerLatenessFactor_),
+                       aSettings.maxLatenessMargin_);
   const Duration transits =
     aTiming.startedAt_ - aTiming.callerStartedAt_ + aTiming.returnDelay_;
   const auto variation =
     duration_cast<Duration>(transits * aSettings.transitVariation_);
   return aTiming.callerStartedAt_ + aTiming.objective_ - aTiming.returnDelay_ -
          variation - aTiming.linkDelay_ - aTiming.timerCoalescing_ -
-         aSettings.margin_ - lagMargin;
+         aSettings.margin_ - latenessMargin;
 }
 
 } // namespace foxtail
--- a/src/policy/AnswerTiming.h
+++ b/src/policy/AnswerTiming.h
@@ -14,11 +14,10 @@
   /// by which they may exceed their estimate. TCP reports a smoothed round
   /// trip, while each packet is delayed by a different amount.
   double transitVariation_ = 0.125;
-  /// Multiple of the recent delay of timer callbacks that is added to the
-  /// margin, and its maximum: work before and after a decision is delayed as
-  /// timers are.
-  double timerLagFactor_ = 4;
-  milliseconds maxTimerLagMargin_{ 25 };
+  /// Multiple of the usual lateness of timers that is added to the margin, and
+  /// its maximum: the work after a decision is delayed as timers are.
+  double timerLatenessFactor_ = 2;
+  milliseconds maxLatenessMargin_{ 25 };
 };
 
 /// What determines when the answer to one request must leave.
@@ -33,8 +32,8 @@
   Duration returnDelay_{};
   /// Time until the last byte of the answer has left this machine.
   Duration linkDelay_{};
-  /// Recent delay of timer callbacks.
-  Duration timerLag_{};
+  /// How late timers usually fire.
+  Duration timerLateness_{};
   /// Time by which each timer is late by design.
   Duration timerCoalescing_{};
 };
