Hold requests while an instance starts, instead of refusing them

Cause: after a loss of all power, routes are in force 0.6 s and the backend servers' announcements 1.2 s after the processes start, and callers return before.

Change: HoldDuringStartup (policy) decides until when a request that cannot be served yet is held: at most to 1.5 s after the start of the process and half of the request's time; otherwise it is refused at once as before. HeldRequests releases them when routes and enough servers are known. An abandoned one is never sent.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -91,7 +91,7 @@
 
 void EdgeInstance::OnFeedDocument(DocumentVersion aVersion,
                                   const std::string& aText,
-                                  TimePoint)
+                                  TimePoint aNow)
 {
   auto document = decoder_(aText);
   if (!document.ok()) {
@@ -104,7 +104,8 @@
     .Add("version", aVersion)
     .Add("routes", document->routes_.size())
     .Add("services", document->services_.size());
-  gateway_.SetRoutes(std::make_shared<const RouteTable>(*std::move(document)));
+  gateway_.SetRoutes(std::make_shared<const RouteTable>(*std::move(document)),
+                     aNow);
   versionGauge_.Set(static_cast<double>(aVersion.Value()));
 }
 
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -72,7 +72,7 @@
   bool mustClose_ = false;
   bool isFirstRequest_ = true;
   bool isHead_ = false;
-  std::shared_ptr<RequestHandler> handler_;
+  std::shared_ptr<PendingRequest> handler_;
   std::string output_;
 };
 
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -8,6 +8,7 @@
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
 #include "policy/ReplyLimits.h"
+#include "policy/StartupHold.h"
 #include "policy/ZoneMap.h"
 
 #include <string>
@@ -68,6 +69,7 @@
   double optionalReserve_ = 0.4;
   /// Memory of incomplete replies of all backend servers together.
   ReplyMemorySettings replyMemory_;
+  StartupHoldSettings startupHold_;
   LinkSettings link_;
   AnswerTimingSettings answerTiming_;
   /// Time for which an abandoned exchange may continue before its connection is
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -93,6 +93,8 @@
               [this](const ServiceName& aService) -> ExtraAttemptBudget& {
                 return BudgetOf(aService);
               } }
+  , heldTotal_(aMetrics.Counter("foxtail_forward_held_total",
+                                "Requests held while the instance started"))
   , tickTimer_(aContext)
 {
 }
@@ -118,6 +120,7 @@
     if (!aError) {
       const TimePoint now = Now();
       pools_.CheckTimeouts(now);
+      ReleaseHeld(now);
       LogTraffic(now);
       ScheduleTick();
     }
@@ -137,15 +140,18 @@
   }
 }
 
-void Gateway::SetRoutes(std::shared_ptr<const RouteTable> aTable)
+void Gateway::SetRoutes(std::shared_ptr<const RouteTable> aTable,
+                        TimePoint aNow)
 {
   table_ = std::move(aTable);
   pools_.DistributeConnections(*table_, instances_);
+  ReleaseHeld(aNow);
 }
 
 void Gateway::SetServers(const ServerDirectory& aDirectory, TimePoint aNow)
 {
   pools_.Update(aDirectory, aNow);
+  ReleaseHeld(aNow);
 }
 
 void Gateway::SetInstances(uint32_t aInstances)
@@ -163,7 +169,59 @@
   }
 }
 
-std::shared_ptr<RequestHandler> Gateway::Begin(
+bool Gateway::CanServe(const ForwardRequest& aRequest) const
+{
+  if (table_ == nullptr) {
+    return false;
+  }
+  const Route* route = table_->Find(aRequest.host_, PathOf(aRequest.target_));
+  if (route == nullptr) {
+    return true;
+  }
+  const std::vector<ServiceName> services = ServicesOf(route->target_);
+  const auto available = static_cast<uint32_t>(std::count_if(
+    services.begin(), services.end(), [&](const ServiceName& aService) {
+      return pools_.HasAvailableServer(aService);
+    }));
+  const auto* gather = std::get_if<GatherTarget>(&route->target_);
+  return available >=
+         (gather == nullptr
+            ? 1
+            : RequiredShards(static_cast<uint32_t>(services.size()),
+                             gather->leastShare_));
+}
+
+void Gateway::ReleaseHeld(TimePoint aNow)
+{
+  held_.ReleaseDue(
+    [this](const ForwardRequest& aRequest) { return CanServe(aRequest); },
+    aNow);
+}
+
+std::shared_ptr<PendingRequest> Gateway::Begin(
+  ForwardRequest aRequest,
+  RequestHandler::CompletionCallback aOnComplete,
+  TimePoint aNow)
+{
+  const auto holdUntil = HoldDuringStartup(
+    settings_.startupHold_, startedAt_, aRequest.deadline_, aNow);
+  if (!holdUntil || CanServe(aRequest)) {
+    return BeginNow(std::move(aRequest), std::move(aOnComplete), aNow);
+  }
+  auto held = held_.Hold(
+    aRequest,
+    *holdUntil,
+    [this, aOnComplete](ForwardRequest aHeld, TimePoint aReleasedAt) {
+      return BeginNow(std::move(aHeld), aOnComplete, aReleasedAt);
+    });
+  if (held == nullptr) {
+    return BeginNow(std::move(aRequest), std::move(aOnComplete), aNow);
+  }
+  heldTotal_.Increment();
+  return held;
+}
+
+std::shared_ptr<PendingRequest> Gateway::BeginNow(
   ForwardRequest aRequest,
   RequestHandler::CompletionCallback aOnComplete,
   TimePoint aNow)
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -2,10 +2,12 @@
 #define FORWARD_GATEWAY_H
 
 #include "forward/ForwardSettings.h"
+#include "forward/HeldRequests.h"
 #include "forward/RequestHandler.h"
 #include "policy/WeightedRoundRobin.h"
 
 #include <boost/asio/io_context.hpp>
+#include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <unordered_map>
 
@@ -33,17 +35,18 @@
 
   /// Puts a route table in force for later requests; requests that have begun
   /// keep theirs.
-  void SetRoutes(std::shared_ptr<const RouteTable> aTable);
+  void SetRoutes(std::shared_ptr<const RouteTable> aTable, TimePoint aNow);
   void SetServers(const ServerDirectory& aDirectory, TimePoint aNow);
   /// @param aInstances number of entry instances that share connections and
   /// budgets.
   void SetInstances(uint32_t aInstances);
 
-  /// Begins a request. @p aOnComplete is called once, possibly from within this
-  /// call, unless the caller disconnects first.
+  /// Begins a request, or holds it while this instance is starting. @p
+  /// aOnComplete is called once, possibly from within this call, unless the
+  /// caller disconnects first.
   ///
-  /// @return the handler, or null when the request was answered from within.
-  std::shared_ptr<RequestHandler> Begin(
+  /// @return the request, or null when it was answered from within.
+  std::shared_ptr<PendingRequest> Begin(
     ForwardRequest aRequest,
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
@@ -61,6 +64,14 @@
 private:
   struct HandlerFactory;
 
+  /// @return whether the request's route is known and enough backend servers
+  /// for a successful answer are.
+  bool CanServe(const ForwardRequest& aRequest) const;
+  std::shared_ptr<PendingRequest> BeginNow(
+    ForwardRequest aRequest,
+    RequestHandler::CompletionCallback aOnComplete,
+    TimePoint aNow);
+  void ReleaseHeld(TimePoint aNow);
   ExtraAttemptBudget& BudgetOf(const ServiceName& aService);
   RouteStats& StatsOf(const Route& aRoute);
   /// @return a callback that records the request's latency, then calls
@@ -84,6 +95,8 @@
   std::unordered_map<std::string, WeightedRoundRobin> splitRoundRobins_;
   std::shared_ptr<const RouteTable> table_;
   RequestHandlerContext context_;
+  HeldRequests held_;
+  prometheus::Counter& heldTotal_;
   boost::asio::steady_timer tickTimer_;
   TimePoint startedAt_{};
   TimePoint nextTrafficLogAt_{};
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -3,6 +3,7 @@
 
 #include "forward/BackendPoolSet.h"
 #include "forward/Exchange.h"
+#include "forward/PendingRequest.h"
 #include "forward/RouteTable.h"
 #include "forward/TimerQueue.h"
 #include "policy/DecayingQuantile.h"
@@ -78,7 +79,8 @@
 /// and answers the caller exactly once. Owned by the caller's connection. Not
 /// thread-safe.
 class RequestHandler
-  : public TimedTask
+  : public PendingRequest
+  , public TimedTask
   , public ExchangeListener
   , public std::enable_shared_from_this<RequestHandler>
 {
@@ -93,9 +95,8 @@
                  CompletionCallback aOnComplete);
 
   virtual void Start(TimePoint aNow) = 0;
-  /// Abandons all outstanding attempts without an answer, because the caller
-  /// has closed its connection.
-  void OnCallerDisconnected(TimePoint aNow);
+  /// Abandons all outstanding attempts.
+  void OnCallerDisconnected(TimePoint aNow) final;
   bool IsDone() const { return isDone_; }
 
   void OnTimer(TimePoint aNow) final;
