--- a/src/policy/SlownessEstimator.cpp
+++ b/src/policy/SlownessEstimator.cpp
@@ -10,6 +10,9 @@
                                 TimePoint aNow)
 {
   if (aRatio < kSlowRatio) {
+    if (aSentAt > sharedAt_) {
+      sharedLog_ = 0;
+    }
     // The first typical reply after slow ones ends the slow episode.
     AddSample(
       aRatio, slowEpisodes_ > 0 ? 2 * kSampleWeight : kSampleWeight, aNow);
@@ -48,6 +51,19 @@
   reportedAt_ = aNow;
 }
 
+void SlownessEstimator::OnShared(double aRatio, TimePoint aSentAt)
+{
+  sharedLog_ = std::log(std::clamp(aRatio, 1.0, kMaxRatio));
+  sharedAt_ = aSentAt;
+}
+
+double SlownessEstimator::SharedLogSlowness(TimePoint aNow) const
+{
+  const double halfLives = std::chrono::duration<double>(aNow - sharedAt_) /
+                           std::chrono::duration<double>(kSharedHalfLife);
+  return sharedLog_ * std::exp2(-std::max(0.0, halfLives));
+}
+
 double SlownessEstimator::ReportedLogSlowness(TimePoint aNow) const
 {
   const bool isLasting = reportedLog_ >= std::log(kSustainedRatio);
@@ -70,7 +86,9 @@
 
 double SlownessEstimator::Slowness(TimePoint aNow) const
 {
-  const double observed = ObservedLogSlowness(aNow);
+  const double observed = sharedLog_ > 0 ? std::max(ObservedLogSlowness(aNow),
+                                                    SharedLogSlowness(aNow))
+                                         : ObservedLogSlowness(aNow);
   const double reported = ReportedLogSlowness(aNow);
   // A report above 1 shows that the server is slow; a typical report does not
   // show that it is fast, so it never lowers the observed value.
--- a/src/policy/SlownessEstimator.h
+++ b/src/policy/SlownessEstimator.h
@@ -32,6 +32,12 @@
   /// one.
   void OnReported(double aRatio, TimePoint aNow);
 
+  /// Takes the slowness that several other instances have observed. The first
+  /// typical reply to a later request of this instance ends it.
+  ///
+  /// @param aSentAt when the latest of their requests was sent.
+  void OnShared(double aRatio, TimePoint aSentAt);
+
   /// @return predicted latency divided by the typical latency; 1 without
   /// samples.
   double Slowness(TimePoint aNow) const;
@@ -62,6 +68,11 @@
   /// detect the end.
   static constexpr milliseconds kSustainedReportHalfLife{ 2000 };
 
+  /// Half-life of a ratio that other instances observed. They cannot tell when
+  /// the server recovers, as it gets few requests; then this instance tries it
+  /// again after about two half-lives.
+  static constexpr milliseconds kSharedHalfLife{ 2000 };
+
   void AddSample(double aRatio, double aWeight, TimePoint aNow);
   /// @return the logarithm of the slowness observed in replies, decayed to @p
   /// aNow.
@@ -69,6 +80,8 @@
   /// @return the logarithm of the reported slowness, decayed to @p aNow.
   double ReportedLogSlowness(TimePoint aNow) const;
 
+  double SharedLogSlowness(TimePoint aNow) const;
+
   /// Logarithm of the slowness observed in replies, as of observedAt_.
   double observedLog_ = 0;
   TimePoint observedAt_{};
@@ -79,6 +92,9 @@
   /// Logarithm of the slowness that the server reported, as of reportedAt_.
   double reportedLog_ = 0;
   TimePoint reportedAt_{};
+  /// Logarithm of the slowness that other instances observed, as of sharedAt_.
+  double sharedLog_ = 0;
+  TimePoint sharedAt_{};
 };
 
 } // namespace foxtail
