feed: entry instances report slow servers and receive what several agree on

Change: an entry instance sends what it finds to the nearest control instance, which ends the long polls of its zone with what several agree on.

--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -58,6 +58,7 @@
   }
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
+  void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
   /// Polls other control instances for the servers that announced themselves
   /// there. Thread safe.
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -62,6 +62,9 @@
   if (!status.ok()) {
     return status;
   }
+  gateway_.OnSlowServer([this](const SlowServerReport& aReport) {
+    feed_.ReportSlowServer(aReport);
+  });
   gateway_.Start(Now());
   feed_.Start(Now());
   ScheduleReadinessCheck();
@@ -116,6 +119,11 @@
   serversGauge_.Set(static_cast<double>(gateway_.ServerCount()));
 }
 
+void EdgeInstance::OnFeedSlowServers(const std::vector<SlowServer>& aServers)
+{
+  gateway_.OnSharedSlowServers(aServers);
+}
+
 void EdgeInstance::OnFeedEntryCount(uint32_t aEntryCount,
                                     bool aIsComplete,
                                     TimePoint)
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -74,6 +74,7 @@
                       TimePoint aNow) override;
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
+  void OnFeedSlowServers(const std::vector<SlowServer>& aServers) override;
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint aNow) override;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -150,6 +150,7 @@
   request.knownVersion_ = version_;
   request.knownControlsRevision_ = aSource.controlsRevision_;
   request.isControl_ = settings_.isControl_;
+  request.knownSlowRevision_ = aSource.slowRevision_;
   request.wantsText_ = WantsText(aSource, aNow);
   request.wantsServers_ = WantsServers(aSource, aNow);
   request.wantsRenewals_ = request.wantsServers_ && !settings_.isControl_ &&
@@ -257,6 +258,8 @@
   ApplyServers(aSource, aRequest, aReply, aNow);
   if (!settings_.isControl_) {
     ApplyDocument(aReply, aNow);
+    aSource.slowRevision_ = aReply.slowRevision_;
+    ApplySlowServers(aReply, aNow);
   }
   for (const std::string& control : aReply.controls_) {
     if (control != settings_.ownEndpoint_) {
@@ -296,6 +299,71 @@
   }
 }
 
+void FeedClient::ApplySlowServers(const FeedReply& aReply, TimePoint aNow)
+{
+  if (aReply.slowServers_.empty()) {
+    return;
+  }
+  std::vector<SlowServer> servers;
+  servers.reserve(aReply.slowServers_.size());
+  for (const FeedSlowServer& server : aReply.slowServers_) {
+    servers.push_back({ server.id_, server.ratio_, aNow - server.age_ });
+  }
+  listener_.OnFeedSlowServers(servers);
+}
+
+void FeedClient::ReportSlowServer(const SlowServerReport& aReport)
+{
+  const bool isFirst = reports_.empty();
+  if (reports_.size() < settings_.maxReportedServers_ ||
+      reports_.contains(aReport.server_)) {
+    reports_[aReport.server_] = aReport;
+  }
+  if (isFirst) {
+    asio::co_spawn(context_, SendReports(), asio::detached);
+  }
+}
+
+asio::awaitable<void> FeedClient::SendReports()
+{
+  asio::steady_timer timer(context_, settings_.reportDelay_);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  const TimePoint now = Now();
+  FeedRequest request;
+  for (const auto& [id, report] : std::exchange(reports_, {})) {
+    request.slowServers_.push_back(
+      { id, report.ratio_, duration_cast<milliseconds>(now - report.sentAt_) });
+  }
+  const Source* nearest = FindNearest(DocumentVersion(), now);
+  const auto found =
+    std::find_if(sources_.begin(), sources_.end(), [&](const auto& aRow) {
+      return &aRow.second == nearest;
+    });
+  const auto endpoint =
+    found == sources_.end() ? std::nullopt : ToEndpoint(found->first);
+  if (!endpoint) {
+    co_return;
+  }
+  // Asks for nothing, so that the source replies at once.
+  request.source_ = nearest->id_;
+  request.knownVersion_ = nearest->version_;
+  request.knownControlsRevision_ = nearest->controlsRevision_;
+  request.wantsText_ = false;
+  request.wantsRenewals_ = false;
+  request.wantsServers_ = false;
+  Frame frame{ FrameKind::Feed, 0, EncodeFeedRequest(request) };
+  // g++ 12 destroys temporaries within an awaited expression twice.
+  auto call =
+    frames_.Call(*endpoint, std::move(frame), settings_.replyTimeout_);
+  const auto reply = co_await std::move(call);
+  if (!reply.ok()) {
+    LogLine(LogLevel::Info, "slow_servers_not_reported")
+      .Add("servers", request.slowServers_.size())
+      .Add("error", reply.status());
+  }
+}
+
 void FeedClient::ApplyDocument(const FeedReply& aReply, TimePoint aNow)
 {
   if (aReply.version_ > latestKnownVersion_) {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -3,6 +3,7 @@
 
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
+#include "policy/SlowServerBoard.h"
 #include "policy/ZoneMap.h"
 
 #include <functional>
@@ -58,6 +59,11 @@
   /// reply from another region takes 40 ms, and the nearest source may be the
   /// last to be listed.
   milliseconds discoveryTimeout_{ 200 };
+  /// Reports of slow servers are collected for this long, as a query finds
+  /// several at a time.
+  milliseconds reportDelay_{ 100 };
+  /// Largest number of servers in one report.
+  size_t maxReportedServers_ = 64;
   /// Largest document, in bytes.
   size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
   /// A source that no other source has listed and that has not replied for this
@@ -77,6 +83,8 @@
   /// Called when an announced server has changed.
   virtual void OnFeedServers(const ServerDirectory& aDirectory,
                              TimePoint aNow) = 0;
+  /// Called with servers that several entry instances found slow.
+  virtual void OnFeedSlowServers(const std::vector<SlowServer>& aServers) = 0;
   /// @param aEntryCount number of entry instances that poll the same sources.
   /// @param aIsComplete false while there may be more, as all sources started
   /// to count a short time ago.
@@ -105,6 +113,10 @@
   /// Adds seeds. Called on worker 0.
   void SetSeeds(const std::vector<std::string>& aSeeds, TimePoint aNow);
 
+  /// Reports a slow server to the nearest source, together with others that are
+  /// found shortly after. Called on worker 0.
+  void ReportSlowServer(const SlowServerReport& aReport);
+
   /// @return whether the newest document that any reachable source has is
   /// received, or the wait for it is over.
   bool IsReady(TimePoint aNow) const;
@@ -119,6 +131,7 @@
     FeedSourceId id_;
     uint64_t cursor_ = 0;
     uint64_t controlsRevision_ = 0;
+    uint64_t slowRevision_ = 0;
     TimePoint lastReplyAt_{};
     TimePoint lastListedAt_{};
     TimePoint nextRenewalsAt_{};
@@ -168,6 +181,9 @@
                     const FeedRequest& aRequest,
                     const FeedReply& aReply,
                     TimePoint aNow);
+  /// Sends the collected reports of slow servers after reportDelay_.
+  boost::asio::awaitable<void> SendReports();
+  void ApplySlowServers(const FeedReply& aReply, TimePoint aNow);
   void ApplyDocument(const FeedReply& aReply, TimePoint aNow);
   void NotifyEntryCount(TimePoint aNow);
   void RecordLoss(const std::string& aEndpoint,
@@ -193,6 +209,8 @@
   const Source* documentSource_ = nullptr;
   const Source* failedDocumentSource_ = nullptr;
   std::map<std::string, Source> sources_;
+  /// Reports that have not been sent yet, the latest of each server.
+  std::map<BackendId, SlowServerReport> reports_;
 };
 
 } // namespace foxtail
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -3,6 +3,8 @@
 #include "feed/feed_generated.h"
 #include "instance/WireCodec.h"
 
+#include <algorithm>
+
 namespace foxtail {
 namespace {
 
@@ -35,11 +37,55 @@
   return server;
 }
 
+/// Largest slowness ratio that is sent, as its percentage must fit 32 bits.
+constexpr double kMaxRatio = 10000;
+constexpr double kPercent = 100;
+
+using SlowServerList =
+  flatbuffers::Vector<flatbuffers::Offset<wire::FeedSlowServer>>;
+
+flatbuffers::Offset<SlowServerList> ToWire(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  const std::vector<FeedSlowServer>& aServers)
+{
+  std::vector<flatbuffers::Offset<wire::FeedSlowServer>> rows;
+  rows.reserve(aServers.size());
+  for (const FeedSlowServer& server : aServers) {
+    const auto id = aBuilder.CreateString(server.id_.Value());
+    rows.push_back(wire::CreateFeedSlowServer(
+      aBuilder,
+      id,
+      static_cast<uint32_t>(std::clamp(server.ratio_, 0.0, kMaxRatio) *
+                            kPercent),
+      ToMilliseconds32(server.age_)));
+  }
+  return aBuilder.CreateVector(rows);
+}
+
+std::vector<FeedSlowServer> FromWire(const SlowServerList* aList)
+{
+  std::vector<FeedSlowServer> servers;
+  if (aList == nullptr) {
+    return servers;
+  }
+  servers.reserve(aList->size());
+  for (const wire::FeedSlowServer* row : *aList) {
+    servers.push_back({ BackendId(row->id()->str()),
+                        row->ratio_percent() / kPercent,
+                        milliseconds(row->age_ms()) });
+  }
+  return servers;
+}
+
 } // namespace
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest)
 {
   flatbuffers::FlatBufferBuilder builder;
+  flatbuffers::Offset<SlowServerList> slowServers;
+  if (!aRequest.slowServers_.empty()) {
+    slowServers = ToWire(builder, aRequest.slowServers_);
+  }
   builder.Finish(wire::CreateFeedRequest(builder,
                                          aRequest.source_.Value(),
                                          aRequest.cursor_,
@@ -49,7 +95,9 @@
                                          aRequest.wantsRenewals_,
                                          aRequest.knownControlsRevision_,
                                          aRequest.wantsServers_,
-                                         aRequest.isControl_));
+                                         aRequest.isControl_,
+                                         slowServers,
+                                         aRequest.knownSlowRevision_));
   return FinishedBytes(builder);
 }
 
@@ -67,7 +115,9 @@
                       (*root)->wants_renewals(),
                       (*root)->known_controls(),
                       (*root)->wants_servers(),
-                      (*root)->is_control() };
+                      (*root)->is_control(),
+                      FromWire((*root)->slow_servers()),
+                      (*root)->known_slow() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -104,6 +154,10 @@
     text = CreateByteVector(builder, *aReply.compressedText_);
   }
   const auto zone = builder.CreateString(aReply.zone_.Value());
+  flatbuffers::Offset<SlowServerList> slowServers;
+  if (!aReply.slowServers_.empty()) {
+    slowServers = ToWire(builder, aReply.slowServers_);
+  }
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
@@ -119,7 +173,9 @@
                                        aReply.hasAllEntryInstances_,
                                        zone,
                                        aReply.digest_,
-                                       aReply.revision_));
+                                       aReply.revision_,
+                                       slowServers,
+                                       aReply.slowRevision_));
   return FinishedBytes(builder);
 }
 
@@ -154,6 +210,8 @@
   reply.zone_ = ZoneName(ToText((*root)->zone()));
   reply.digest_ = (*root)->digest();
   reply.revision_ = (*root)->revision();
+  reply.slowServers_ = FromWire((*root)->slow_servers());
+  reply.slowRevision_ = (*root)->slow_revision();
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -15,6 +15,16 @@
 /// process from those of the present one.
 using FeedSourceId = StrongId<struct FeedSourceIdTag, uint64_t>;
 
+/// Slowness of a backend server, and the time since the request that showed it
+/// was sent.
+struct FeedSlowServer
+{
+  BackendId id_;
+  /// Latency of that request divided by the usual one.
+  double ratio_ = 1;
+  milliseconds age_{ 0 };
+};
+
 /// Long-poll request for updates.
 struct FeedRequest
 {
@@ -37,6 +47,10 @@
   /// The client is a control instance: it receives only changes that servers
   /// announced to the source itself, and is not counted as an entry instance.
   bool isControl_ = false;
+  /// Slow servers that the client has found since its last report.
+  std::vector<FeedSlowServer> slowServers_{};
+  /// Revision of the source's slow servers up to which the client has all.
+  uint64_t knownSlowRevision_ = 0;
 };
 
 /// A backend server and the time since its last announcement.
@@ -78,6 +92,9 @@
   /// Digest of the source's directory, and the revision that it was taken at.
   uint64_t digest_ = 0;
   uint64_t revision_ = 0;
+  /// Slow servers published since the request's knownSlowRevision_.
+  std::vector<FeedSlowServer> slowServers_;
+  uint64_t slowRevision_ = 0;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -51,6 +51,9 @@
   , zone_(std::move(aZone))
   , requestCounter_(aMetrics.Counter("foxtail_feed_questions_total",
                                      "Long-poll requests for updates received"))
+  , slowReportCounter_(
+      aMetrics.Counter("foxtail_feed_slow_reports_total",
+                       "Reports of slow backend servers received"))
 {
   aFrames.OnCall(FrameKind::Feed,
                  [this](const InstanceId& aFrom, Frame aFrame) {
@@ -179,6 +182,7 @@
     const std::lock_guard lock(mutex_);
     if (!request->isControl_) {
       entryInstances_[aFrom] = Now();
+      ApplyReports(aFrom, *request, Now());
     }
     if (!HasUpdates(*request)) {
       timer =
@@ -202,6 +206,29 @@
   co_return reply;
 }
 
+void FeedSource::ApplyReports(const InstanceId& aFrom,
+                              const FeedRequest& aRequest,
+                              TimePoint aNow)
+{
+  bool isPublished = false;
+  for (const FeedSlowServer& server : aRequest.slowServers_) {
+    slowReportCounter_.Increment();
+    const SlowServerReport report{ server.id_,
+                                   server.ratio_,
+                                   aNow - server.age_ };
+    if (slowServers_.OnReport(aFrom, report, aNow)) {
+      isPublished = true;
+      LogLine(LogLevel::Info, "server_slow")
+        .Add("server", server.id_)
+        .Add("ratio", server.ratio_)
+        .Add("last_reporter", aFrom);
+    }
+  }
+  if (isPublished) {
+    CompletePolls();
+  }
+}
+
 bool FeedSource::HasNonServerUpdates(const FeedRequest& aRequest) const
 {
   return aRequest.source_ != id_ ||
@@ -219,7 +246,8 @@
 bool FeedSource::MayBatchUpdates(const FeedRequest& aRequest)
 {
   const std::lock_guard lock(mutex_);
-  return !HasNonServerUpdates(aRequest) && HasServerUpdates(aRequest);
+  return !HasNonServerUpdates(aRequest) &&
+         (HasServerUpdates(aRequest) || HasSlowServerUpdates(aRequest));
 }
 
 FeedReply FeedSource::MakeReply(const FeedRequest& aRequest, TimePoint aNow)
@@ -249,6 +277,19 @@
         { id, record.announcement_.sequence_, AgeOf(record, aNow) });
     }
   }
+  const uint64_t knownSlow =
+    aRequest.source_ == id_ ? aRequest.knownSlowRevision_ : 0;
+  reply.slowRevision_ = knownSlow;
+  if (aRequest.wantsServers_ && !aRequest.isControl_) {
+    for (const SlowServer& server :
+         slowServers_.PublishedSince(knownSlow, aNow)) {
+      reply.slowServers_.push_back(
+        { server.server_,
+          server.ratio_,
+          duration_cast<milliseconds>(aNow - server.sentAt_) });
+    }
+    reply.slowRevision_ = slowServers_.Revision();
+  }
   reply.controlsRevision_ = controlsRevision_;
   if (aRequest.source_ != id_ ||
       aRequest.knownControlsRevision_ != controlsRevision_) {
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -3,6 +3,7 @@
 
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
+#include "policy/SlowServerBoard.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -21,7 +22,8 @@
 /// and the list of control instances. A request waits until there are updates
 /// of the kinds that it asks for. Entry instances receive all servers; control
 /// instances receive those that sent their announcements to this one, so that
-/// each announcement reaches each of them once. Thread safe.
+/// each announcement reaches each of them once. Entry instances report slow
+/// servers and receive those that several of them agree on. Thread safe.
 class FeedSource
 {
 public:
@@ -64,9 +66,18 @@
   /// @return whether there are updates other than of backend servers.
   bool HasNonServerUpdates(const FeedRequest& aRequest) const;
   bool HasServerUpdates(const FeedRequest& aRequest) const;
+  bool HasSlowServerUpdates(const FeedRequest& aRequest) const
+  {
+    return aRequest.wantsServers_ && !aRequest.isControl_ &&
+           slowServers_.Revision() > aRequest.knownSlowRevision_;
+  }
+  void ApplyReports(const InstanceId& aFrom,
+                    const FeedRequest& aRequest,
+                    TimePoint aNow);
   bool HasUpdates(const FeedRequest& aRequest) const
   {
-    return HasNonServerUpdates(aRequest) || HasServerUpdates(aRequest);
+    return HasNonServerUpdates(aRequest) || HasServerUpdates(aRequest) ||
+           HasSlowServerUpdates(aRequest);
   }
   /// @return whether the reply holds only updates of servers and may wait for
   /// more of them.
@@ -83,6 +94,7 @@
   const ZoneName zone_;
   std::mutex mutex_;
   ServerDirectory directory_;
+  SlowServerBoard slowServers_;
   /// Servers whose last change was received from another control instance, and
   /// the revision of the last change that a server announced to this one.
   std::unordered_set<BackendId> updatedByPeers_;
@@ -95,6 +107,7 @@
   std::map<InstanceId, TimePoint> entryInstances_;
   std::map<std::shared_ptr<Timer>, FeedRequest> pendingPolls_;
   prometheus::Counter& requestCounter_;
+  prometheus::Counter& slowReportCounter_;
 };
 
 } // namespace foxtail
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -16,6 +16,9 @@
 namespace foxtail {
 namespace wire {
 
+struct FeedSlowServer;
+struct FeedSlowServerBuilder;
+
 struct FeedRequest;
 struct FeedRequestBuilder;
 
@@ -28,6 +31,82 @@
 struct FeedReply;
 struct FeedReplyBuilder;
 
+struct FeedSlowServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedSlowServerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_RATIO_PERCENT = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  uint32_t ratio_percent() const {
+    return GetField<uint32_t>(VT_RATIO_PERCENT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint32_t>(verifier, VT_RATIO_PERCENT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedSlowServerBuilder {
+  typedef FeedSlowServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(FeedSlowServer::VT_ID, id);
+  }
+  void add_ratio_percent(uint32_t ratio_percent) {
+    fbb_.AddElement<uint32_t>(FeedSlowServer::VT_RATIO_PERCENT, ratio_percent, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(FeedSlowServer::VT_AGE_MS, age_ms, 0);
+  }
+  explicit FeedSlowServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedSlowServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedSlowServer>(end);
+    fbb_.Required(o, FeedSlowServer::VT_ID);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedSlowServer> CreateFeedSlowServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint32_t ratio_percent = 0,
+    uint32_t age_ms = 0) {
+  FeedSlowServerBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_ratio_percent(ratio_percent);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FeedSlowServer> CreateFeedSlowServerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    uint32_t ratio_percent = 0,
+    uint32_t age_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return foxtail::wire::CreateFeedSlowServer(
+      _fbb,
+      id__,
+      ratio_percent,
+      age_ms);
+}
+
 struct FeedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FeedRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -39,7 +118,9 @@
     VT_WANTS_RENEWALS = 14,
     VT_KNOWN_CONTROLS = 16,
     VT_WANTS_SERVERS = 18,
-    VT_IS_CONTROL = 20
+    VT_IS_CONTROL = 20,
+    VT_SLOW_SERVERS = 22,
+    VT_KNOWN_SLOW = 24
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -68,6 +149,12 @@
   bool is_control() const {
     return GetField<uint8_t>(VT_IS_CONTROL, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *>(VT_SLOW_SERVERS);
+  }
+  uint64_t known_slow() const {
+    return GetField<uint64_t>(VT_KNOWN_SLOW, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -79,6 +166,10 @@
            VerifyField<uint64_t>(verifier, VT_KNOWN_CONTROLS, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_SERVERS, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_CONTROL, 1) &&
+           VerifyOffset(verifier, VT_SLOW_SERVERS) &&
+           verifier.VerifyVector(slow_servers()) &&
+           verifier.VerifyVectorOfTables(slow_servers()) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_SLOW, 8) &&
            verifier.EndTable();
   }
 };
@@ -114,6 +205,12 @@
   void add_is_control(bool is_control) {
     fbb_.AddElement<uint8_t>(FeedRequest::VT_IS_CONTROL, static_cast<uint8_t>(is_control), 0);
   }
+  void add_slow_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers) {
+    fbb_.AddOffset(FeedRequest::VT_SLOW_SERVERS, slow_servers);
+  }
+  void add_known_slow(uint64_t known_slow) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_SLOW, known_slow, 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -135,12 +232,16 @@
     bool wants_renewals = false,
     uint64_t known_controls = 0,
     bool wants_servers = false,
-    bool is_control = false) {
+    bool is_control = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers = 0,
+    uint64_t known_slow = 0) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_known_slow(known_slow);
   builder_.add_known_controls(known_controls);
   builder_.add_known_version(known_version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_slow_servers(slow_servers);
   builder_.add_wait_ms(wait_ms);
   builder_.add_is_control(is_control);
   builder_.add_wants_servers(wants_servers);
@@ -149,6 +250,35 @@
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<FeedRequest> CreateFeedRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t source = 0,
+    uint64_t cursor = 0,
+    uint64_t known_version = 0,
+    uint32_t wait_ms = 0,
+    bool wants_text = false,
+    bool wants_renewals = false,
+    uint64_t known_controls = 0,
+    bool wants_servers = false,
+    bool is_control = false,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers = nullptr,
+    uint64_t known_slow = 0) {
+  auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
+  return foxtail::wire::CreateFeedRequest(
+      _fbb,
+      source,
+      cursor,
+      known_version,
+      wait_ms,
+      wants_text,
+      wants_renewals,
+      known_controls,
+      wants_servers,
+      is_control,
+      slow_servers__,
+      known_slow);
+}
+
 struct FeedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FeedServerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -409,7 +539,9 @@
     VT_HAS_ALL_ENTRIES = 22,
     VT_ZONE = 24,
     VT_DIGEST = 26,
-    VT_REVISION = 28
+    VT_REVISION = 28,
+    VT_SLOW_SERVERS = 30,
+    VT_SLOW_REVISION = 32
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -450,6 +582,12 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *>(VT_SLOW_SERVERS);
+  }
+  uint64_t slow_revision() const {
+    return GetField<uint64_t>(VT_SLOW_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -473,6 +611,10 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_SLOW_SERVERS) &&
+           verifier.VerifyVector(slow_servers()) &&
+           verifier.VerifyVectorOfTables(slow_servers()) &&
+           VerifyField<uint64_t>(verifier, VT_SLOW_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -520,6 +662,12 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(FeedReply::VT_REVISION, revision, 0);
   }
+  void add_slow_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers) {
+    fbb_.AddOffset(FeedReply::VT_SLOW_SERVERS, slow_servers);
+  }
+  void add_slow_revision(uint64_t slow_revision) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_SLOW_REVISION, slow_revision, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -548,14 +696,18 @@
     bool has_all_entries = false,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint64_t digest = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers = 0,
+    uint64_t slow_revision = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_slow_revision(slow_revision);
   builder_.add_revision(revision);
   builder_.add_digest(digest);
   builder_.add_controls_number(controls_number);
   builder_.add_version(version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_slow_servers(slow_servers);
   builder_.add_zone(zone);
   builder_.add_entries(entries);
   builder_.add_controls(controls);
@@ -580,12 +732,15 @@
     bool has_all_entries = false,
     const char *zone = nullptr,
     uint64_t digest = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers = nullptr,
+    uint64_t slow_revision = 0) {
   auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
   auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
   return foxtail::wire::CreateFeedReply(
       _fbb,
       source,
@@ -600,7 +755,9 @@
       has_all_entries,
       zone__,
       digest,
-      revision);
+      revision,
+      slow_servers__,
+      slow_revision);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -118,6 +118,16 @@
            });
 }
 
+void BackendPoolSet::OnSharedSlowServers(
+  const std::vector<SlowServer>& aServers)
+{
+  for (const SlowServer& server : aServers) {
+    if (const auto found = byId_.find(server.server_); found != byId_.end()) {
+      found->second->OnSharedSlowness(server.ratio_, server.sentAt_);
+    }
+  }
+}
+
 void BackendPoolSet::CheckTimeouts(TimePoint aNow)
 {
   for (const auto& [id, pool] : byId_) {
@@ -145,6 +155,7 @@
     headerNames_,
     metrics_,
     replyMemory_,
+    onSlowServer_,
     aAnnouncement,
     *endpoint,
     settings_.zones_.DistanceTo(aAnnouncement.zone_),
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -60,6 +60,14 @@
   /// @return whether any server of the service accepts requests.
   bool HasAvailableServer(const ServiceName& aService) const;
 
+  /// Takes servers that several instances found slow.
+  void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
+  /// Sets the function that is told of servers that this instance finds slow.
+  void OnSlowServer(SlowServerCallback aCallback)
+  {
+    onSlowServer_ = std::move(aCallback);
+  }
+
   void CheckTimeouts(TimePoint aNow);
 
   size_t Size() const { return byId_.size(); }
@@ -80,6 +88,7 @@
   const HeaderNames& headerNames_;
   ServerConnectionPoolMetrics metrics_;
   ReplyMemory replyMemory_;
+  SlowServerCallback onSlowServer_;
   RandomSource random_;
   std::unordered_map<BackendId, std::shared_ptr<ServerConnectionPool>> byId_;
   std::unordered_map<ServiceName,
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -154,6 +154,16 @@
   ReleaseHeld(aNow);
 }
 
+void Gateway::OnSharedSlowServers(const std::vector<SlowServer>& aServers)
+{
+  pools_.OnSharedSlowServers(aServers);
+}
+
+void Gateway::OnSlowServer(SlowServerCallback aCallback)
+{
+  pools_.OnSlowServer(std::move(aCallback));
+}
+
 void Gateway::SetInstances(uint32_t aInstances)
 {
   const uint32_t instances = std::max<uint32_t>(aInstances, 1);
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -37,6 +37,10 @@
   /// keep theirs.
   void SetRoutes(std::shared_ptr<const RouteTable> aTable, TimePoint aNow);
   void SetServers(const ServerDirectory& aDirectory, TimePoint aNow);
+  /// Takes servers that several instances found slow.
+  void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
+  /// Sets the function that is told of slow servers. Called before Start().
+  void OnSlowServer(SlowServerCallback aCallback);
   /// @param aInstances number of entry instances that share connections and
   /// budgets.
   void SetInstances(uint32_t aInstances);
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -16,6 +16,9 @@
 /// Age after which a reported load is ignored: a few times the usual server
 /// time.
 constexpr milliseconds kReportedLoadMaxAge{ 200 };
+/// Latency divided by the usual one from which a server is reported as slow. It
+/// lies above the slowest 1% of the usual spread of work.
+constexpr double kReportedRatio = 3;
 /// An unreachable server is avoided for this long, doubled with each connect
 /// failure up to kMaxUnreachableBackoff.
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
@@ -72,6 +75,7 @@
   const HeaderNames& aHeaderNames,
   ServerConnectionPoolMetrics& aMetrics,
   ReplyMemory& aReplyMemory,
+  const SlowServerCallback& aOnSlowServer,
   const ServerAnnouncement& aAnnouncement,
   boost::asio::ip::tcp::endpoint aEndpoint,
   ZoneDistance aDistance,
@@ -81,6 +85,7 @@
   , headerNames_(aHeaderNames)
   , metrics_(aMetrics)
   , replyMemory_(aReplyMemory)
+  , onSlowServer_(aOnSlowServer)
   , endpoint_(std::move(aEndpoint))
   , distance_(aDistance)
   , roundTrip_(InitialRoundTrip(aDistance))
@@ -390,6 +395,9 @@
     std::max(0.0, (aExchange.outstandingAtSend_ + 1 - slots) / slots);
   const double ratio =
     Seconds(took) / (Seconds(aExchange.expectedServerTime_) * (1 + queued));
+  if (ratio >= kReportedRatio && onSlowServer_) {
+    onSlowServer_({ announcement_.id_, ratio, aExchange.sentAt_ });
+  }
   if (aExchange.isAbandoned_) {
     slowness_.OnAbandoned(ratio, aExchange.sentAt_, aNow);
   } else {
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -4,10 +4,12 @@
 #include "forward/ServerConnection.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/ServerDirectory.h"
+#include "policy/SlowServerBoard.h"
 #include "policy/SlownessEstimator.h"
 #include "policy/ZoneMap.h"
 
 #include <deque>
+#include <functional>
 #include <prometheus/counter.h>
 #include <set>
 
@@ -15,6 +17,9 @@
 
 class Metrics;
 
+/// Is told of a backend server that this instance finds slow.
+using SlowServerCallback = std::function<void(const SlowServerReport&)>;
+
 /// Counters that all pools of an instance share.
 struct ServerConnectionPoolMetrics
 {
@@ -40,6 +45,7 @@
                        const HeaderNames& aHeaderNames,
                        ServerConnectionPoolMetrics& aMetrics,
                        ReplyMemory& aReplyMemory,
+                       const SlowServerCallback& aOnSlowServer,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ZoneDistance aDistance,
@@ -77,6 +83,12 @@
   void Retire(TimePoint aNow);
   bool IsEmpty() const { return connections_.empty() && waiting_.empty(); }
 
+  /// Takes the slowness that several instances have observed.
+  void OnSharedSlowness(double aRatio, TimePoint aSentAt)
+  {
+    slowness_.OnShared(aRatio, aSentAt);
+  }
+
   /// Closes connections whose connect, idle time or abandoned exchange has
   /// reached its time limit.
   void CheckTimeouts(TimePoint aNow);
@@ -119,6 +131,7 @@
   const HeaderNames& headerNames_;
   ServerConnectionPoolMetrics& metrics_;
   ReplyMemory& replyMemory_;
+  const SlowServerCallback& onSlowServer_;
   ServerAnnouncement announcement_;
   const boost::asio::ip::tcp::endpoint endpoint_;
   const ZoneDistance distance_;
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -113,6 +113,7 @@
   {
     own_.feed_.OnPeerServers(aDirectory, aNow);
   }
+  void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
 
   Source& own_;
@@ -123,9 +124,10 @@
 class Client : private FeedListener
 {
 public:
-  explicit Client(std::vector<std::string> aSeeds)
+  explicit Client(std::vector<std::string> aSeeds,
+                  const char* aName = "entry-1")
     : pool_(1)
-    , frames_(FrameSettings("entry-1"), pool_)
+    , frames_(FrameSettings(aName), pool_)
     , feed_(SettingsOf(std::move(aSeeds)), frames_, pool_.Context(0), *this)
   {
     frames_.Start().IgnoreError();
@@ -160,6 +162,7 @@
   }
 
   std::vector<std::string> texts_;
+  std::vector<SlowServer> slowServers_;
   uint32_t entryInstances_ = 0;
   bool areEntriesComplete_ = false;
 
@@ -180,6 +183,10 @@
     texts_.push_back(aText);
   }
   void OnFeedServers(const ServerDirectory&, TimePoint) override {}
+  void OnFeedSlowServers(const std::vector<SlowServer>& aServers) override
+  {
+    slowServers_.insert(slowServers_.end(), aServers.begin(), aServers.end());
+  }
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint) override
@@ -366,6 +373,40 @@
         1);
 }
 
+TEST_CASE(
+  "feed: a server that two entry instances find slow is told to a third")
+{
+  Source source("control-1", "zone-a");
+  source.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  Client first({ source.Endpoint() }, "entry-1");
+  Client second({ source.Endpoint() }, "entry-2");
+  Client third({ source.Endpoint() }, "entry-3");
+  for (Client* client : { &first, &second, &third }) {
+    REQUIRE(client->WaitFor([&] { return client->feed_.IsReady(Now()); }));
+  }
+  const auto report = [](Client& aClient, Duration aAge) {
+    const SlowServerReport slow{ BackendId("i-7"), 9, Now() - aAge };
+    return aClient.RunOnWorker([&] {
+      aClient.feed_.ReportSlowServer(slow);
+      return true;
+    });
+  };
+  report(first, milliseconds(900));
+  std::this_thread::sleep_for(milliseconds(400));
+  CHECK(third.RunOnWorker([&] { return third.slowServers_.empty(); }));
+  const TimePoint reportedAt = Now();
+  report(second, milliseconds(300));
+  CHECK(third.WaitFor([&] { return !third.slowServers_.empty(); }));
+  CHECK(Now() - reportedAt < milliseconds(600));
+  const auto slow = third.RunOnWorker([&] { return third.slowServers_; });
+  REQUIRE(slow.size() == 1);
+  CHECK(slow[0].server_ == BackendId("i-7"));
+  CHECK(slow[0].ratio_ == 9);
+  // The long poll waits again; the same publication is sent once.
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(third.RunOnWorker([&] { return third.slowServers_.size(); }) == 1);
+}
+
 TEST_CASE("feed: changed servers are sent by the nearest source only")
 {
   Source near("control-1", "zone-a");
