Answer what was accepted before a planned stop; do not run what a pause outdated

Cause: (1) When a stopping instance closed its listener, connections in the listener's queue were reset, and an open connection whose request had arrived but had not been read was closed. (2) An instance that was paused read requests that had arrived meanwhile as if they were fresh and ran them after their time; an exchange that waited for a connection was sent after its time. (3) The check of equal request ids closed a new connection when a request had no id, without end; found by the new test.

Change: a stopping instance accepts what is in the queue, leaves new connections 200 ms for their first request and closes idle ones only when nothing is unread. PauseDetector (policy) finds by late ticks how long bytes may have waited; that is taken off the time left, and a request without any left is refused as not run. An exchange past its time is not sent.

--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -20,6 +20,9 @@
 constexpr size_t kReadBytes = 4096;
 /// Maximum buffered bytes of pipelined requests while one is in progress.
 constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+/// Time in which the first request of a new connection arrives: several round
+/// trips between regions.
+constexpr milliseconds kFirstRequestTime{ 200 };
 /// Longest time limit that a caller may state.
 constexpr milliseconds kMaxDeadline{ 600000 };
 
@@ -58,6 +61,16 @@
   }
 }
 
+void CallerConnection::CloseIfUnused(TimePoint aNow)
+{
+  Error error;
+  const bool hasUnreadBytes = socket_.available(error) > 0;
+  const bool isNew = isFirstRequest_ && aNow - phaseSince_ < kFirstRequestTime;
+  if (phase_ == Phase::Idle && !isNew && (error || !hasUnreadBytes)) {
+    Close();
+  }
+}
+
 void CallerConnection::StartParser()
 {
   const CallerLimits limits = port_.Limits();
@@ -176,7 +189,9 @@
       std::errc()) {
     timeLeftMs = std::clamp<int64_t>(statedMs, 1, kMaxDeadline.count());
   }
-  request.deadline_ = aNow + milliseconds(timeLeftMs);
+  const Duration readDelay = port_.gateway_.PossibleReadDelay(aNow);
+  request.callerStartedAt_ -= readDelay;
+  request.deadline_ = aNow + milliseconds(timeLeftMs) - readDelay;
   mustClose_ = !message.keep_alive();
   isHead_ = request.isHead_;
   return request;
@@ -198,8 +213,22 @@
   SetPhase(Phase::Running, aNow);
   ++port_.requestsInFlight_;
   port_.requestsTotal_.Increment();
+  ForwardRequest request = ReleaseRequest(aNow);
+  if (request.deadline_ <= aNow) {
+    LogLine(LogLevel::Warning, "request_read_too_late")
+      .Add("request", request.id_)
+      .Add("possible_delay_ms",
+           ToMilliseconds(port_.gateway_.PossibleReadDelay(aNow)));
+    SendAnswer(MakeLocalAnswer(
+      AnswerSource::NotRun,
+      static_cast<unsigned>(http::status::service_unavailable),
+      "this instance was paused and may have read the request after its time "
+      "limit; try again",
+      port_.gateway_.Settings().retryAfter_));
+    return;
+  }
   auto handler = port_.gateway_.Begin(
-    ReleaseRequest(aNow),
+    std::move(request),
     [weak = weak_from_this()](const ForwardAnswer& aAnswer) {
       if (const auto self = weak.lock()) {
         self->SendAnswer(aAnswer);
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -25,7 +25,10 @@
   /// Closes the connection if it has been idle for too long, or refuses its
   /// request if the request takes too long to arrive.
   void CloseIfTimedOut(const CallerLimits& aLimits, TimePoint aNow);
-  bool IsIdle() const { return phase_ == Phase::Idle; }
+  /// Closes the connection of a stopping instance unless a request is in
+  /// progress, has arrived and not been read, or may be on its way as the
+  /// connection is new.
+  void CloseIfUnused(TimePoint aNow);
   void Close();
 
 private:
--- a/src/forward/CallerPort.cpp
+++ b/src/forward/CallerPort.cpp
@@ -14,6 +14,8 @@
 /// Interval of the check for idle and slow connections, whose time limits are
 /// several seconds.
 constexpr milliseconds kSweepInterval{ 500 };
+/// Interval of the check for unused connections of a stopping instance.
+constexpr milliseconds kStopSweepInterval{ 50 };
 /// Pause after a failed accept, for example when no file descriptor is left.
 constexpr milliseconds kAcceptPause{ 20 };
 
@@ -58,7 +60,7 @@
   acceptor_.async_accept(
     context_.get_executor(),
     [this](const error_code& aError, CallerConnection::Socket aSocket) {
-      if (isStopped_) {
+      if (aError && isStopped_) {
         return;
       }
       if (aError) {
@@ -67,16 +69,37 @@
         pause->async_wait([this, pause](const error_code&) { Accept(); });
         return;
       }
-      if (connections_.size() < settings_.maxConnections_) {
-        auto connection =
-          std::make_shared<CallerConnection>(std::move(aSocket), *this);
-        connections_.insert(connection);
-        connection->Start(Now());
+      AddConnection(std::move(aSocket));
+      if (!isStopped_) {
+        Accept();
       }
-      Accept();
     });
 }
 
+void CallerPort::AddConnection(Socket aSocket)
+{
+  if (connections_.size() >= settings_.maxConnections_) {
+    return;
+  }
+  auto connection =
+    std::make_shared<CallerConnection>(std::move(aSocket), *this);
+  connections_.insert(connection);
+  connection->Start(Now());
+}
+
+void CallerPort::AcceptQueued()
+{
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Socket socket(context_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  }
+}
+
 void CallerPort::ScheduleSweep()
 {
   sweepTimer_.expires_after(kSweepInterval);
@@ -96,15 +119,28 @@
 void CallerPort::StopAccepting()
 {
   isStopped_ = true;
+  AcceptQueued();
   error_code ignored;
   acceptor_.close(ignored);
-  sweepTimer_.cancel();
+  CloseUnused();
+}
+
+void CallerPort::CloseUnused()
+{
+  const TimePoint now = Now();
   const auto connections = connections_;
   for (const auto& connection : connections) {
-    if (connection->IsIdle()) {
-      connection->Close();
-    }
+    connection->CloseIfUnused(now);
   }
+  if (connections_.empty()) {
+    return;
+  }
+  sweepTimer_.expires_after(kStopSweepInterval);
+  sweepTimer_.async_wait([this](const error_code& aError) {
+    if (!aError) {
+      CloseUnused();
+    }
+  });
 }
 
 CallerLimits CallerPort::Limits() const
--- a/src/forward/CallerPort.h
+++ b/src/forward/CallerPort.h
@@ -41,7 +41,8 @@
 
   /// Closes each connection after its next answer from now on.
   void BeginDrain() { isDraining_ = true; }
-  /// Stops accepting connections and closes the idle ones.
+  /// Stops accepting connections and closes the idle ones. Requests on
+  /// connections that were established before are still answered.
   void StopAccepting();
 
   size_t OpenConnections() const { return connections_.size(); }
@@ -50,7 +51,18 @@
 private:
   friend class CallerConnection;
 
+  using Socket =
+    boost::asio::basic_stream_socket<boost::asio::ip::tcp,
+                                     boost::asio::io_context::executor_type>;
+
   void Accept();
+  void AddConnection(Socket aSocket);
+  /// Accepts the connections that wait in the listener's queue, as closing the
+  /// listener resets them.
+  void AcceptQueued();
+  /// Closes the connections of a stopping instance that have no request, now
+  /// and periodically until none is left.
+  void CloseUnused();
   void ScheduleSweep();
   CallerLimits Limits() const;
 
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -12,7 +12,8 @@
 
 /// Interval of the checks for connection timeouts. A shorter one costs
 /// wake-ups; the timeouts that it checks are 150 ms and more.
-constexpr milliseconds kTimeoutCheckInterval{ 50 };
+constexpr milliseconds kTimeoutCheckInterval =
+  PauseDetectorSettings{}.tickInterval_;
 /// Interval at which the request totals are logged.
 constexpr seconds kTrafficLogInterval{ 10 };
 /// Number of instances that share budgets and connections, assumed until the
@@ -104,6 +105,7 @@
 void Gateway::Start(TimePoint aNow)
 {
   startedAt_ = aNow;
+  pauseDetector_.OnTick(aNow);
   ScheduleTick();
 }
 
@@ -119,6 +121,7 @@
   tickTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       const TimePoint now = Now();
+      pauseDetector_.OnTick(now);
       pools_.CheckTimeouts(now);
       ReleaseHeld(now);
       LogTraffic(now);
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -4,6 +4,7 @@
 #include "forward/ForwardSettings.h"
 #include "forward/HeldRequests.h"
 #include "forward/RequestHandler.h"
+#include "policy/PauseDetector.h"
 #include "policy/WeightedRoundRobin.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,12 @@
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
 
+  /// @return the longest time for which a request that is read now may have
+  /// waited while this process was paused.
+  Duration PossibleReadDelay(TimePoint aNow) const
+  {
+    return pauseDetector_.PossibleDelay(aNow);
+  }
   /// @return the route table in force, or null before the first document.
   const std::shared_ptr<const RouteTable>& ActiveRoutes() const
   {
@@ -100,6 +107,7 @@
   std::shared_ptr<const RouteTable> table_;
   RequestHandlerContext context_;
   HeldRequests held_;
+  PauseDetector pauseDetector_;
   prometheus::Counter& heldTotal_;
   boost::asio::steady_timer tickTimer_;
   TimePoint startedAt_{};
--- a/src/forward/ServerConnection.h
+++ b/src/forward/ServerConnection.h
@@ -91,8 +91,12 @@
   /// @return the time after which the connection is closed when idle.
   milliseconds IdleLimit() const { return idleLimit_; }
   const std::optional<ReportedServerLoad>& Load() const { return load_; }
-  /// @return the id of the latest request sent, empty before the first.
-  const RequestId& LastRequestId() const { return lastRequestId_; }
+  /// @return whether the reply to a request with this id could be told from a
+  /// late second copy of the reply before.
+  bool CanCarry(const RequestId& aRequest) const
+  {
+    return requestsSent_ == 0 || lastRequestId_ != aRequest;
+  }
   /// @return the duration of the connect.
   Duration ConnectTime() const { return connectTime_; }
 
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -216,13 +216,16 @@
 
 void ServerConnectionPool::DispatchWaiting(TimePoint aNow)
 {
+  // After a pause of this process, a connection may be reported as open before
+  // the timers that end the requests.
+  while (!waiting_.empty() && waiting_.front()->deadline_ <= aNow) {
+    FailOneWaiting(ExchangeFault::TimedOut, aNow);
+  }
   while (!waiting_.empty() && !idleConnections_.empty()) {
     const auto connection = idleConnections_.back();
     idleConnections_.pop_back();
     const auto exchange = waiting_.front();
-    if (connection->LastRequestId() == exchange->request_->id_) {
-      // A late second copy of the earlier attempt's reply would carry the same
-      // id as the reply to this one.
+    if (!connection->CanCarry(exchange->request_->id_)) {
       connection->CloseWithoutNotice();
       RemoveConnection(*connection);
       continue;
--- /dev/null
+++ b/tests/forward/CallerPortTest.cpp
@@ -0,0 +1,161 @@
+#include "ForwardFixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace foxtail;
+
+namespace {
+
+constexpr std::string_view kRequest = "GET /proofs/1 HTTP/1.1\r\n"
+                                      "Host: shop.example\r\n\r\n";
+
+ScriptedServer::Script OwnReply()
+{
+  return [](const std::string&, size_t) {
+    return ScriptedReply{ "HTTP/1.1 200 OK\r\n" + HeaderNames{}.signature_ +
+                          ": sig-1\r\nContent-Length: 3\r\n\r\nown" };
+  };
+}
+
+/// A caller with one connection.
+class Caller
+{
+public:
+  explicit Caller(const ForwardFixture& aFixture)
+    : socket_(context_)
+  {
+    socket_.connect(aFixture.Endpoint());
+  }
+  void Send(std::string_view aBytes)
+  {
+    boost::asio::write(socket_,
+                       boost::asio::buffer(aBytes.data(), aBytes.size()));
+  }
+  /// @return the bytes of the next read.
+  std::string ReadSome()
+  {
+    std::string bytes(4096, '\0');
+    boost::system::error_code ignored;
+    bytes.resize(socket_.read_some(boost::asio::buffer(bytes), ignored));
+    return bytes;
+  }
+  /// @return all bytes until the connection ends.
+  std::string ReadAll()
+  {
+    std::string bytes;
+    boost::system::error_code ignored;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(bytes), ignored);
+    return bytes;
+  }
+
+private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+};
+
+} // namespace
+
+TEST_CASE("a planned stop under load answers every request that was accepted")
+{
+  // The gateway's thread is busy while callers connect and send, and handles
+  // the stop before it reads what they sent.
+  struct Row
+  {
+    const char* name_;
+    bool isAcceptedBefore_;
+    size_t bytesAtOnce_;
+  };
+  const Row rows[] = {
+    { "in the listener's queue, sent", false, kRequest.size() },
+    { "in the listener's queue, half sent", false, 20 },
+    { "in the listener's queue, nothing sent yet", false, 0 },
+    { "an open connection, sent and not read", true, kRequest.size() },
+    { "an open connection, half sent", true, 20 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    ScriptedServer server(OwnReply());
+    ForwardFixture fixture;
+    fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce));
+    fixture.Announce("i-1", "proofs", server.Address());
+    std::vector<std::unique_ptr<Caller>> callers;
+    const auto connect = [&] {
+      for (int i = 0; i < 20; ++i) {
+        callers.push_back(std::make_unique<Caller>(fixture));
+      }
+    };
+    if (row.isAcceptedBefore_) {
+      connect();
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    fixture.RunOnGatewayThread([&] {
+      if (!row.isAcceptedBefore_) {
+        connect();
+      }
+      for (auto& caller : callers) {
+        caller->Send(kRequest.substr(0, row.bytesAtOnce_));
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+      fixture.Callers().BeginDrain();
+      fixture.Callers().StopAccepting();
+    });
+    std::this_thread::sleep_for(milliseconds(30));
+    for (auto& caller : callers) {
+      if (row.bytesAtOnce_ < kRequest.size()) {
+        caller->Send(kRequest.substr(row.bytesAtOnce_));
+      }
+    }
+    size_t answered = 0;
+    for (auto& caller : callers) {
+      const std::string answer = caller->ReadAll();
+      answered += answer.starts_with("HTTP/1.1 200") &&
+                      answer.ends_with("own") &&
+                      answer.find("Connection: close") != std::string::npos
+                    ? 1
+                    : 0;
+    }
+    CHECK(answered == callers.size());
+  }
+}
+
+TEST_CASE("a stopping instance closes the connections without a request")
+{
+  ForwardFixture fixture;
+  Caller caller(fixture);
+  std::this_thread::sleep_for(milliseconds(20));
+  const TimePoint start = Now();
+  fixture.RunOnGatewayThread([&] {
+    fixture.Callers().BeginDrain();
+    fixture.Callers().StopAccepting();
+  });
+  CHECK(caller.ReadAll().empty());
+  CHECK(Now() - start < milliseconds(500));
+}
+
+TEST_CASE("a process that was paused does not run a request whose time is over")
+{
+  ScriptedServer server(OwnReply());
+  ForwardFixture fixture;
+  fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce));
+  fixture.Announce("i-1", "proofs", server.Address());
+  const std::string request =
+    "GET /proofs/1 HTTP/1.1\r\nHost: shop.example\r\n" +
+    HeaderNames{}.timeLeftMs_ + ": 300\r\n\r\n";
+  std::string answer;
+  std::thread caller([&] {
+    std::this_thread::sleep_for(milliseconds(50));
+    Caller paused(fixture);
+    paused.Send(request);
+    answer = paused.ReadSome();
+  });
+  fixture.RunOnGatewayThread(
+    [] { std::this_thread::sleep_for(milliseconds(900)); });
+  caller.join();
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(server.Requests().empty());
+  // It serves the next request as usual.
+  CHECK(fixture.Get("/proofs/2").result_int() == 200);
+}
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -104,6 +104,7 @@
   }
 
   Gateway& GetGateway() { return gateway_; }
+  CallerPort& Callers() { return callers_; }
 
 private:
   static ForwardSettings WithBudgetSlack(ForwardSettings aSettings)
