policy: four reporters and no single long request make a server slow

Cause: two reporters were too few: work has a tail of 1% five times as long, and a zone sends a server 16 requests a second, so a pause and one long request looked like a slow server.

--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -28,6 +28,9 @@
 /// Far below the seconds within which a draining server must receive no more
 /// requests.
 constexpr milliseconds kBatchDelay{ 100 };
+/// The same for a reply that holds only slow servers, which are found one after
+/// the other and concern all entry instances of the zone.
+constexpr milliseconds kSlowBatchDelay{ 300 };
 /// Servers whose last announcement is younger than this are sent as renewals:
 /// longer than the interval of requests for renewals.
 constexpr seconds kRenewalWindow{ 45 };
@@ -195,8 +198,8 @@
     co_await timer->async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
-  if (MayBatchUpdates(*request)) {
-    Timer batchTimer(executor, kBatchDelay);
+  if (const milliseconds delay = BatchDelay(*request); delay.count() > 0) {
+    Timer batchTimer(executor, delay);
     co_await batchTimer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
@@ -243,11 +246,16 @@
   return aRequest.wantsServers_ && latest > aRequest.cursor_;
 }
 
-bool FeedSource::MayBatchUpdates(const FeedRequest& aRequest)
+milliseconds FeedSource::BatchDelay(const FeedRequest& aRequest)
 {
   const std::lock_guard lock(mutex_);
-  return !HasNonServerUpdates(aRequest) &&
-         (HasServerUpdates(aRequest) || HasSlowServerUpdates(aRequest));
+  if (HasNonServerUpdates(aRequest)) {
+    return milliseconds(0);
+  }
+  if (HasServerUpdates(aRequest)) {
+    return kBatchDelay;
+  }
+  return HasSlowServerUpdates(aRequest) ? kSlowBatchDelay : milliseconds(0);
 }
 
 FeedReply FeedSource::MakeReply(const FeedRequest& aRequest, TimePoint aNow)
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -79,9 +79,9 @@
     return HasNonServerUpdates(aRequest) || HasServerUpdates(aRequest) ||
            HasSlowServerUpdates(aRequest);
   }
-  /// @return whether the reply holds only updates of servers and may wait for
-  /// more of them.
-  bool MayBatchUpdates(const FeedRequest& aRequest);
+  /// @return how long a reply is delayed to batch more updates of servers; zero
+  /// when it holds other updates or none.
+  milliseconds BatchDelay(const FeedRequest& aRequest);
   /// Records a change that a server announced to this instance.
   void RecordDirectUpdate(const BackendId& aId);
   FeedReply MakeReply(const FeedRequest& aRequest, TimePoint aNow);
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -23,8 +23,9 @@
   : context_(aContext)
   , settings_(aSettings)
   , headerNames_(aHeaderNames)
-  , metrics_(aMetrics)
-  , replyMemory_(aSettings.replyMemory_)
+  , shared_{ ServerConnectionPoolMetrics(aMetrics),
+             ReplyMemory(aSettings.replyMemory_),
+             {} }
   , random_(aSeed)
 {
 }
@@ -153,9 +154,7 @@
     context_,
     settings_.serverConnections_,
     headerNames_,
-    metrics_,
-    replyMemory_,
-    onSlowServer_,
+    shared_,
     aAnnouncement,
     *endpoint,
     settings_.zones_.DistanceTo(aAnnouncement.zone_),
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -63,9 +63,9 @@
   /// Takes servers that several instances found slow.
   void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
   /// Sets the function that is told of servers that this instance finds slow.
-  void OnSlowServer(SlowServerCallback aCallback)
+  void OnSlowServer(SlowServerReporter::Callback aCallback)
   {
-    onSlowServer_ = std::move(aCallback);
+    shared_.slowServers_.SetCallback(std::move(aCallback));
   }
 
   void CheckTimeouts(TimePoint aNow);
@@ -75,7 +75,7 @@
   uint64_t Sent(ZoneDistance aDistance) const
   {
     return static_cast<uint64_t>(
-      metrics_.sent_[static_cast<size_t>(aDistance)]->Value());
+      shared_.metrics_.sent_[static_cast<size_t>(aDistance)]->Value());
   }
 
 private:
@@ -86,9 +86,7 @@
   boost::asio::io_context& context_;
   const ForwardSettings& settings_;
   const HeaderNames& headerNames_;
-  ServerConnectionPoolMetrics metrics_;
-  ReplyMemory replyMemory_;
-  SlowServerCallback onSlowServer_;
+  ServerConnectionPoolContext shared_;
   RandomSource random_;
   std::unordered_map<BackendId, std::shared_ptr<ServerConnectionPool>> byId_;
   std::unordered_map<ServiceName,
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -162,7 +162,7 @@
   pools_.OnSharedSlowServers(aServers);
 }
 
-void Gateway::OnSlowServer(SlowServerCallback aCallback)
+void Gateway::OnSlowServer(SlowServerReporter::Callback aCallback)
 {
   pools_.OnSlowServer(std::move(aCallback));
 }
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -41,7 +41,7 @@
   /// Takes servers that several instances found slow.
   void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
   /// Sets the function that is told of slow servers. Called before Start().
-  void OnSlowServer(SlowServerCallback aCallback);
+  void OnSlowServer(SlowServerReporter::Callback aCallback);
   /// @param aInstances number of entry instances that share connections and
   /// budgets.
   void SetInstances(uint32_t aInstances);
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -16,9 +16,6 @@
 /// Age after which a reported load is ignored: a few times the usual server
 /// time.
 constexpr milliseconds kReportedLoadMaxAge{ 200 };
-/// Latency divided by the usual one from which a server is reported as slow. It
-/// lies above the slowest 1% of the usual spread of work.
-constexpr double kReportedRatio = 3;
 /// An unreachable server is avoided for this long, doubled with each connect
 /// failure up to kMaxUnreachableBackoff.
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
@@ -73,9 +70,7 @@
   boost::asio::io_context& aContext,
   const ServerConnectionSettings& aSettings,
   const HeaderNames& aHeaderNames,
-  ServerConnectionPoolMetrics& aMetrics,
-  ReplyMemory& aReplyMemory,
-  const SlowServerCallback& aOnSlowServer,
+  ServerConnectionPoolContext& aShared,
   const ServerAnnouncement& aAnnouncement,
   boost::asio::ip::tcp::endpoint aEndpoint,
   ZoneDistance aDistance,
@@ -83,9 +78,7 @@
   : context_(aContext)
   , settings_(aSettings)
   , headerNames_(aHeaderNames)
-  , metrics_(aMetrics)
-  , replyMemory_(aReplyMemory)
-  , onSlowServer_(aOnSlowServer)
+  , shared_(aShared)
   , endpoint_(std::move(aEndpoint))
   , distance_(aDistance)
   , roundTrip_(InitialRoundTrip(aDistance))
@@ -181,7 +174,7 @@
       case ServerConnectionState::Busy: {
         const Exchange& exchange = *connection->CurrentExchange();
         if (exchange.isAbandoned_ && aNow >= exchange.closeAt_) {
-          metrics_.closedAbandoned_.Increment();
+          shared_.metrics_.closedAbandoned_.Increment();
           connection->Abort(ExchangeFault::Abandoned, aNow);
         }
         break;
@@ -233,7 +226,7 @@
     waiting_.pop_front();
     exchange->outstandingAtSend_ = static_cast<uint32_t>(sentTimes_.size());
     sentTimes_.insert(aNow);
-    metrics_.sent_[static_cast<size_t>(distance_)]->Increment();
+    shared_.metrics_.sent_[static_cast<size_t>(distance_)]->Increment();
     connection->Send(exchange, aNow);
   }
   while (waiting_.size() > connecting_ &&
@@ -250,11 +243,11 @@
                                        announcement_.id_.Value(),
                                        settings_,
                                        headerNames_,
-                                       replyMemory_,
+                                       shared_.replyMemory_,
                                        *this);
   connections_.push_back(connection);
   ++connecting_;
-  metrics_.connects_.Increment();
+  shared_.metrics_.connects_.Increment();
   connection->Connect(aNow);
 }
 
@@ -398,9 +391,8 @@
     std::max(0.0, (aExchange.outstandingAtSend_ + 1 - slots) / slots);
   const double ratio =
     Seconds(took) / (Seconds(aExchange.expectedServerTime_) * (1 + queued));
-  if (ratio >= kReportedRatio && onSlowServer_) {
-    onSlowServer_({ announcement_.id_, ratio, aExchange.sentAt_ });
-  }
+  shared_.slowServers_.OnLatency(
+    { announcement_.id_, ratio, aExchange.sentAt_ });
   if (aExchange.isAbandoned_) {
     slowness_.OnAbandoned(ratio, aExchange.sentAt_, aNow);
   } else {
@@ -410,7 +402,7 @@
 
 void ServerConnectionPool::RecordConnectFailure(TimePoint aNow)
 {
-  metrics_.connectFailures_.Increment();
+  shared_.metrics_.connectFailures_.Increment();
   unreachableBackoff_ =
     unreachableBackoff_.count() == 0
       ? kInitialUnreachableBackoff
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -4,12 +4,11 @@
 #include "forward/ServerConnection.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/ServerDirectory.h"
-#include "policy/SlowServerBoard.h"
+#include "policy/SlowServerReporter.h"
 #include "policy/SlownessEstimator.h"
 #include "policy/ZoneMap.h"
 
 #include <deque>
-#include <functional>
 #include <prometheus/counter.h>
 #include <set>
 
@@ -17,9 +16,6 @@
 
 class Metrics;
 
-/// Is told of a backend server that this instance finds slow.
-using SlowServerCallback = std::function<void(const SlowServerReport&)>;
-
 /// Counters that all pools of an instance share.
 struct ServerConnectionPoolMetrics
 {
@@ -32,6 +28,14 @@
   std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
 };
 
+/// State that all pools of an instance share.
+struct ServerConnectionPoolContext
+{
+  ServerConnectionPoolMetrics metrics_;
+  ReplyMemory replyMemory_;
+  SlowServerReporter slowServers_;
+};
+
 /// This instance's connections to one backend server, and the statistics that
 /// their use provides for ranking it: round trip, slowness, failures and load.
 /// Not thread-safe.
@@ -43,9 +47,7 @@
   ServerConnectionPool(boost::asio::io_context& aContext,
                        const ServerConnectionSettings& aSettings,
                        const HeaderNames& aHeaderNames,
-                       ServerConnectionPoolMetrics& aMetrics,
-                       ReplyMemory& aReplyMemory,
-                       const SlowServerCallback& aOnSlowServer,
+                       ServerConnectionPoolContext& aShared,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ZoneDistance aDistance,
@@ -129,9 +131,7 @@
   boost::asio::io_context& context_;
   const ServerConnectionSettings& settings_;
   const HeaderNames& headerNames_;
-  ServerConnectionPoolMetrics& metrics_;
-  ReplyMemory& replyMemory_;
-  const SlowServerCallback& onSlowServer_;
+  ServerConnectionPoolContext& shared_;
   ServerAnnouncement announcement_;
   const boost::asio::ip::tcp::endpoint endpoint_;
   const ZoneDistance distance_;
--- a/src/policy/SlowServerBoard.cpp
+++ b/src/policy/SlowServerBoard.cpp
@@ -1,7 +1,6 @@
 #include "policy/SlowServerBoard.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace foxtail {
 
@@ -23,29 +22,15 @@
   }
   Row& row = rows_[aReport.server_];
   std::erase_if(row.byReporter_, [&](const auto& aEntry) {
-    return IsExpired(aEntry.second.lastSentAt_, aNow);
+    return IsExpired(aEntry.second.sentAt_, aNow);
   });
-  const auto [entry, isNew] = row.byReporter_.try_emplace(
-    aReporter, Observation{ aReport.ratio_, aReport.sentAt_, aReport.sentAt_ });
-  Observation& observation = entry->second;
-  if (!isNew) {
-    observation.ratio_ = aReport.ratio_;
-    observation.firstSentAt_ = IsExpired(observation.firstSentAt_, aNow)
-                                 ? aReport.sentAt_
-                                 : observation.firstSentAt_;
-    observation.lastSentAt_ =
-      std::max(observation.lastSentAt_, aReport.sentAt_);
-  }
+  row.byReporter_[aReporter] = { aReport.ratio_, aReport.sentAt_ };
   const bool isDue = row.publishedRevision_ == 0 ||
                      aNow - row.publishedAt_ >= settings_.republishAfter_;
   if (!isDue || !IsConfirmed(row)) {
     return false;
   }
-  TimePoint lastSentAt{};
-  for (const auto& [reporter, other] : row.byReporter_) {
-    lastSentAt = std::max(lastSentAt, other.lastSentAt_);
-  }
-  row.published_ = { aReport.server_, AgreedRatio(row), lastSentAt };
+  row.published_ = { aReport.server_, MedianRatio(row), aReport.sentAt_ };
   row.publishedAt_ = aNow;
   row.publishedRevision_ = ++revision_;
   return true;
@@ -53,27 +38,29 @@
 
 bool SlowServerBoard::IsConfirmed(const Row& aRow) const
 {
-  if (aRow.byReporter_.size() < settings_.minReporters_) {
+  if (aRow.byReporter_.size() < std::max<size_t>(settings_.minReporters_, 3)) {
     return false;
   }
-  TimePoint first = TimePoint::max();
-  TimePoint last{};
+  std::vector<TimePoint> times;
+  times.reserve(aRow.byReporter_.size());
   for (const auto& [reporter, observation] : aRow.byReporter_) {
-    first = std::min(first, observation.firstSentAt_);
-    last = std::max(last, observation.lastSentAt_);
+    times.push_back(observation.sentAt_);
   }
-  return last - first >= settings_.minSpan_;
+  std::sort(times.begin(), times.end());
+  return times[times.size() - 2] - times[1] >= settings_.minSpan_;
 }
 
-double SlowServerBoard::AgreedRatio(const Row& aRow) const
+double SlowServerBoard::MedianRatio(const Row& aRow)
 {
   std::vector<double> ratios;
   ratios.reserve(aRow.byReporter_.size());
   for (const auto& [reporter, observation] : aRow.byReporter_) {
     ratios.push_back(observation.ratio_);
   }
-  std::sort(ratios.begin(), ratios.end(), std::greater<>());
-  return ratios[settings_.minReporters_ - 1];
+  const auto middle =
+    ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+  std::nth_element(ratios.begin(), middle, ratios.end());
+  return *middle;
 }
 
 std::vector<SlowServer> SlowServerBoard::PublishedSince(uint64_t aKnownRevision,
@@ -100,8 +87,7 @@
     return std::all_of(row.byReporter_.begin(),
                        row.byReporter_.end(),
                        [&](const auto& aObservation) {
-                         return IsExpired(aObservation.second.lastSentAt_,
-                                          aNow);
+                         return IsExpired(aObservation.second.sentAt_, aNow);
                        });
   });
 }
--- a/src/policy/SlowServerBoard.h
+++ b/src/policy/SlowServerBoard.h
@@ -13,15 +13,16 @@
 struct SlowServerBoardSettings
 {
   /// How long a report counts, from the time at which its request was sent.
-  milliseconds reportLifetime_{ 3000 };
+  milliseconds reportLifetime_{ 2000 };
   /// Number of instances that must report a server.
-  uint32_t minReporters_ = 2;
-  /// Minimum time between the first and the last reported request. It exceeds
-  /// the usual pauses of servers, 120 to 300 ms, whose victims are all sent
-  /// within one pause.
+  uint32_t minReporters_ = 4;
+  /// Minimum time between the second and the last but one of the reported
+  /// requests. It exceeds the usual pauses of servers, 120 to 300 ms, whose
+  /// victims are all sent within one pause; a single long request before or
+  /// after a pause does not count.
   milliseconds minSpan_{ 400 };
   /// A server that is confirmed again is published again after this time.
-  milliseconds republishAfter_{ 1000 };
+  milliseconds republishAfter_{ 1500 };
   /// Limits the memory for reports of one instance.
   size_t maxServers_ = 4096;
 };
@@ -72,11 +73,11 @@
   struct Observation
   {
     double ratio_ = 1;
-    TimePoint firstSentAt_{};
-    TimePoint lastSentAt_{};
+    TimePoint sentAt_{};
   };
   struct Row
   {
+    /// The latest observation of each instance.
     std::map<InstanceId, Observation> byReporter_;
     SlowServer published_;
     uint64_t publishedRevision_ = 0;
@@ -90,8 +91,7 @@
   void RemoveExpired(TimePoint aNow);
   /// @return whether the observations of @p aRow confirm that it is slow.
   bool IsConfirmed(const Row& aRow) const;
-  /// @return the largest ratio that minReporters_ instances agree on.
-  double AgreedRatio(const Row& aRow) const;
+  static double MedianRatio(const Row& aRow);
 
   SlowServerBoardSettings settings_;
   std::unordered_map<BackendId, Row> rows_;
