Release held requests one after the other; smaller reserves of the budget

Change: 40 releases a second, the earliest deadline first. Reserves of 0.15 for attempts that only improve an answer and 0.1 for hedges.

The new test of the reserves failed with the old ones (one hedge of two).

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -62,11 +62,11 @@
   double preconnectShare_ = 0.5;
   /// Share of the budget of extra attempts that hedges leave to retries, as a
   /// retry makes up for a failure that has certainly occurred.
-  double hedgeReserve_ = 0.2;
+  double hedgeReserve_ = 0.1;
   /// Shares of the budget that an extra attempt must leave unused: one that the
   /// request needs to succeed, and one that only improves the answer.
   double requiredReserve_ = 0;
-  double optionalReserve_ = 0.4;
+  double optionalReserve_ = 0.15;
   /// Memory of incomplete replies of all backend servers together.
   ReplyMemorySettings replyMemory_;
   StartupHoldSettings startupHold_;
--- a/src/forward/HeldRequests.cpp
+++ b/src/forward/HeldRequests.cpp
@@ -9,6 +9,12 @@
 
 /// Bounds the memory of held requests.
 constexpr size_t kMaxHeldRequests = 256;
+/// Interval between two releases: 40 requests/s beside those that arrive.
+constexpr milliseconds kReleaseInterval{ 25 };
+
+/// Time without a release that still counts for the next ones, as releases are
+/// checked each 50 ms.
+constexpr milliseconds kMaxReleaseCredit{ 50 };
 
 } // namespace
 
@@ -55,18 +61,33 @@
   const std::function<bool(const ForwardRequest&)>& aCanServe,
   TimePoint aNow)
 {
-  // Taken out first, because a released request may lead to another call.
+  std::erase_if(held_, [](const std::shared_ptr<HeldRequest>& aHeld) {
+    return aHeld->IsAbandoned();
+  });
+  // Taken out before they begin, because that may lead to another call.
   std::vector<std::shared_ptr<HeldRequest>> due;
   std::erase_if(held_, [&](const std::shared_ptr<HeldRequest>& aHeld) {
-    if (aHeld->IsAbandoned()) {
-      return true;
-    }
-    const bool isDue = aNow >= aHeld->Until() || aCanServe(aHeld->Request());
-    if (isDue) {
+    const bool isTimeOver = aNow >= aHeld->Until();
+    if (isTimeOver) {
       due.push_back(aHeld);
     }
-    return isDue;
+    return isTimeOver;
   });
+  std::sort(
+    held_.begin(), held_.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->Request().deadline_ < aRight->Request().deadline_;
+    });
+  nextReleaseAt_ = std::max(nextReleaseAt_, aNow - kMaxReleaseCredit);
+  for (auto held = held_.begin();
+       held != held_.end() && nextReleaseAt_ <= aNow;) {
+    if (aCanServe((*held)->Request())) {
+      due.push_back(*held);
+      held = held_.erase(held);
+      nextReleaseAt_ += kReleaseInterval;
+    } else {
+      ++held;
+    }
+  }
   for (const auto& held : due) {
     if (!held->IsAbandoned()) {
       held->Release(aNow);
--- a/src/forward/HeldRequests.h
+++ b/src/forward/HeldRequests.h
@@ -38,8 +38,9 @@
   bool isAbandoned_ = false;
 };
 
-/// The requests that a starting instance holds, in the order of their arrival.
-/// Not thread-safe.
+/// The requests that a starting instance holds. They are released one after the
+/// other: released together, the requests of a whole second would delay those
+/// that arrive meanwhile, which can still be answered in time. Not thread-safe.
 class HeldRequests
 {
 public:
@@ -48,13 +49,15 @@
                                        TimePoint aUntil,
                                        HeldRequest::BeginCallback aBegin);
 
-  /// Begins the requests that can be served by now, and those whose time is
-  /// over, which are then refused.
+  /// Begins requests that can be served by now, the one with the earliest
+  /// deadline first, and all those whose time is over, which are then refused.
   void ReleaseDue(const std::function<bool(const ForwardRequest&)>& aCanServe,
                   TimePoint aNow);
 
 private:
   std::vector<std::shared_ptr<HeldRequest>> held_;
+  /// When the next request may be released.
+  TimePoint nextReleaseAt_{};
 };
 
 } // namespace foxtail
--- a/tests/forward/HeldRequestsTest.cpp
+++ b/tests/forward/HeldRequestsTest.cpp
@@ -104,3 +104,43 @@
   CHECK(fixture.Get("/proofs/1").result_int() == 503);
   CHECK(Now() - start < milliseconds(200));
 }
+
+TEST_CASE(
+  "held requests are released one after the other, the most urgent first")
+{
+  const TimePoint start{ seconds(100) };
+  HeldRequests held;
+  std::vector<std::string> begun;
+  const auto begin = [&](const ForwardRequest& aRequest, TimePoint) {
+    begun.push_back(aRequest.id_.Value());
+    return std::shared_ptr<PendingRequest>();
+  };
+  // 37 callers of one instance return within a second after a power loss.
+  constexpr int kCallers = 37;
+  for (int i = 0; i < kCallers; ++i) {
+    ForwardRequest request;
+    request.id_ = RequestId("r" + std::to_string(i));
+    request.deadline_ = start + milliseconds(5000 - i);
+    held.Hold(std::move(request), start + seconds(3), begin);
+  }
+  ForwardRequest late;
+  late.id_ = RequestId("over");
+  late.deadline_ = start + seconds(9);
+  held.Hold(std::move(late), start, begin);
+  const auto canServe = [](const ForwardRequest&) { return true; };
+  held.ReleaseDue(canServe, start);
+  // The one whose time is over is refused beside the first releases.
+  REQUIRE(begun.size() <= 4);
+  CHECK(begun[0] == "over");
+  CHECK(begun[1] == "r36");
+  for (int i = 0; i < 10; ++i) {
+    held.ReleaseDue(canServe, start);
+  }
+  CHECK(begun.size() <= 4);
+  for (int ms = 50; ms <= 1000; ms += 50) {
+    const size_t before = begun.size();
+    held.ReleaseDue(canServe, start + milliseconds(ms));
+    CHECK(begun.size() - before <= 2);
+  }
+  CHECK(begun.size() == kCallers + 1);
+}
--- a/tests/forward/RouteTest.cpp
+++ b/tests/forward/RouteTest.cpp
@@ -1,3 +1,4 @@
+#include "forward/ForwardSettings.h"
 #include "forward/RouteTable.h"
 
 #include "forward/RequestHandler.h"
@@ -160,3 +161,22 @@
     CHECK_FALSE(ParseServerLoad(text).has_value());
   }
 }
+
+TEST_CASE("an instance among 300 may hedge a shard twice in a window")
+{
+  // A service of 960 requests in 10 s, of which an instance sends three.
+  const ForwardSettings settings;
+  ExtraAttemptBudget budget({ 0.2, seconds(10), 628 });
+  budget.SetInstances(294);
+  const TimePoint start{ seconds(100) };
+  int hedges = 0;
+  for (int i = 0; i < 3; ++i) {
+    const TimePoint now = start + seconds(3 * i);
+    budget.OnRequest(now);
+    hedges +=
+      budget.TryTake(settings.optionalReserve_ + settings.hedgeReserve_, now)
+        ? 1
+        : 0;
+  }
+  CHECK(hedges == 2);
+}
