Starting instances tell callers with time when to return, and hold the others

Change: DecideDuringStartup (policy) gives a variant: a caller whose deadline leaves half a second after the startup gets 503 with the time until then; others are held.

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -78,9 +78,6 @@
   milliseconds abandonGrace_{ 0 };
   /// Time limit of a request that states none.
   milliseconds defaultDeadline_{ 30000 };
-  /// Time from the start of a process to its first document after a power loss,
-  /// which is sent to callers as Retry-After until then.
-  milliseconds startupTime_{ 900 };
   /// Retry-After of a refusal for which there is no better estimate.
   milliseconds retryAfter_{ 50 };
 };
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -16,6 +16,7 @@
   PauseDetectorSettings{}.tickInterval_;
 /// Interval at which the request totals are logged.
 constexpr seconds kTrafficLogInterval{ 10 };
+constexpr unsigned kUnavailable = 503;
 /// Number of instances that share budgets and connections, assumed until the
 /// real one is set. It exceeds the number that any deployment starts with.
 constexpr uint32_t kAssumedInstances = 12;
@@ -216,14 +217,22 @@
   RequestHandler::CompletionCallback aOnComplete,
   TimePoint aNow)
 {
-  const auto holdUntil = HoldDuringStartup(
+  const StartupDecision decision = DecideDuringStartup(
     settings_.startupHold_, startedAt_, aRequest.deadline_, aNow);
-  if (!holdUntil || CanServe(aRequest)) {
+  if (std::holds_alternative<StartupOver>(decision) || CanServe(aRequest)) {
     return BeginNow(std::move(aRequest), std::move(aOnComplete), aNow);
   }
+  if (const auto* later = std::get_if<ReturnLater>(&decision)) {
+    aOnComplete(MakeLocalAnswer(
+      AnswerSource::NotRun,
+      kUnavailable,
+      "this instance is starting; come back after the time that is stated",
+      later->retryAfter_));
+    return nullptr;
+  }
   auto held = held_.Hold(
     aRequest,
-    *holdUntil,
+    std::get<HoldUntil>(decision).until_,
     [this, aOnComplete](ForwardRequest aHeld, TimePoint aReleasedAt) {
       return BeginNow(std::move(aHeld), aOnComplete, aReleasedAt);
     });
@@ -240,15 +249,12 @@
   TimePoint aNow)
 {
   constexpr unsigned kNotFound = 404;
-  constexpr unsigned kUnavailable = 503;
   if (table_ == nullptr) {
     aOnComplete(MakeLocalAnswer(
       AnswerSource::NotRun,
       kUnavailable,
       "this instance has not received the routes yet; try again",
-      std::max(settings_.retryAfter_,
-               duration_cast<milliseconds>(startedAt_ + settings_.startupTime_ -
-                                           aNow))));
+      settings_.retryAfter_));
     return nullptr;
   }
   ++requestCount_;
--- a/src/policy/StartupHold.cpp
+++ b/src/policy/StartupHold.cpp
@@ -4,16 +4,21 @@
 
 namespace foxtail {
 
-std::optional<TimePoint> HoldDuringStartup(const StartupHoldSettings& aSettings,
-                                           TimePoint aStartedAt,
-                                           TimePoint aDeadline,
-                                           TimePoint aNow)
+StartupDecision DecideDuringStartup(const StartupHoldSettings& aSettings,
+                                    TimePoint aStartedAt,
+                                    TimePoint aDeadline,
+                                    TimePoint aNow)
 {
   const TimePoint startupEnd = aStartedAt + aSettings.startupTime_;
+  if (aNow >= startupEnd || aNow >= aDeadline) {
+    return StartupOver{};
+  }
+  if (aDeadline >= startupEnd + aSettings.minTimeAfterReturn_) {
+    return ReturnLater{ std::chrono::ceil<milliseconds>(startupEnd - aNow) };
+  }
   const auto longest =
     duration_cast<Duration>((aDeadline - aNow) * aSettings.maxShareOfTimeLeft_);
-  const TimePoint until = std::min(startupEnd, aNow + longest);
-  return until > aNow ? std::optional(until) : std::nullopt;
+  return HoldUntil{ std::min(startupEnd, aNow + longest) };
 }
 
 } // namespace foxtail
--- a/src/policy/StartupHold.h
+++ b/src/policy/StartupHold.h
@@ -3,7 +3,7 @@
 
 #include "core/Time.h"
 
-#include <optional>
+#include <variant>
 
 namespace foxtail {
 
@@ -12,24 +12,39 @@
   /// Time after the start of a process within which the routes and the
   /// announcements of the backend servers arrive, also when all instances
   /// start together.
-  milliseconds startupTime_{ 1500 };
+  milliseconds startupTime_{ 1300 };
+  /// Time that a caller needs to be served after it has come back.
+  milliseconds minTimeAfterReturn_{ 500 };
   /// Largest share, 0 to 1, of a request's remaining time for which it is held.
   double maxShareOfTimeLeft_ = 0.5;
 };
 
+/// The startup is over: the request is served or refused as always.
+struct StartupOver
+{};
+/// The request is refused, and the caller told to come back after this time.
+struct ReturnLater
+{
+  milliseconds retryAfter_{};
+};
+/// The request is held until it can be served, at most until this time.
+struct HoldUntil
+{
+  TimePoint until_{};
+};
+using StartupDecision = std::variant<StartupOver, ReturnLater, HoldUntil>;
+
 /// Decides about a request that a starting instance cannot serve yet. After a
 /// power loss, callers come back before the routes and the announcements do. A
-/// refusal would cost many of them their last attempt, so the request is held
-/// until it can be served, as long as this is likely to happen in time.
+/// caller with enough time is told when to return, since its answer can then be
+/// in time; one with less may be at its last attempt, so its request is held.
 ///
 /// @param aStartedAt start of this process.
 /// @param aDeadline when the caller must have a final answer.
-/// @return the time at which the request is refused if it still cannot be
-/// served, or nothing if it is refused at once.
-std::optional<TimePoint> HoldDuringStartup(const StartupHoldSettings& aSettings,
-                                           TimePoint aStartedAt,
-                                           TimePoint aDeadline,
-                                           TimePoint aNow);
+StartupDecision DecideDuringStartup(const StartupHoldSettings& aSettings,
+                                    TimePoint aStartedAt,
+                                    TimePoint aDeadline,
+                                    TimePoint aNow);
 
 } // namespace foxtail
 
