Return to servers that refused each connection instead of failing the request

A query failed within milliseconds when the three servers of two shards had reset a connection: 602 answers of 502 from 37 to 43 s, 3,344 attempts with turned_away.

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -4,6 +4,7 @@
 #include "core/Ids.h"
 #include "core/Time.h"
 #include "policy/AnswerTiming.h"
+#include "policy/BusyServersBackoff.h"
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
@@ -70,6 +71,7 @@
   /// Memory of incomplete replies of all backend servers together.
   ReplyMemorySettings replyMemory_;
   StartupHoldSettings startupHold_;
+  BusyServersBackoffSettings busyServersBackoff_;
   LinkSettings link_;
   AnswerTimingSettings answerTiming_;
   /// Time for which an abandoned exchange may continue before its connection is
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -68,7 +68,8 @@
     parts_[shard].records_ = std::move(aExchange.reply_.body_);
     SetPartState(shard, PartState::Included, aNow);
   } else if (attempts_[shard].outstanding_.empty() &&
-             !TryRetry(attempts_[shard], shard, NeedsMoreParts(), aNow)) {
+             !TryRetry(attempts_[shard], shard, NeedsMoreParts(), aNow) &&
+             !TryReturnLater(attempts_[shard], aNow)) {
     SetPartState(shard, PartState::Missing, aNow);
   }
   if (!IsDone()) {
@@ -97,6 +98,12 @@
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
     PreconnectIfDue(attempts_[i], aNow);
     HedgeIfDue(attempts_[i], i, isRequired, aNow);
+    if (!ReturnIfDue(attempts_[i], i, aNow)) {
+      SetPartState(i, PartState::Missing, aNow);
+      if (IsDone()) {
+        return;
+      }
+    }
   }
 }
 
@@ -104,7 +111,8 @@
 {
   TimePoint next = NextGatherEvaluation(Progress(aNow), aNow);
   for (const ServiceAttempts& attempts : attempts_) {
-    next = std::min({ next, attempts.preconnectAt_, attempts.hedgeAt_ });
+    next = std::min(
+      { next, attempts.preconnectAt_, attempts.hedgeAt_, attempts.returnAt_ });
   }
   return next;
 }
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -251,6 +251,41 @@
   return true;
 }
 
+bool RequestHandler::TryReturnLater(ServiceAttempts& aAttempts, TimePoint aNow)
+{
+  const bool wasRefused =
+    aAttempts.lastFault_ == ExchangeFault::ResetOnConnect ||
+    aAttempts.lastFault_ == ExchangeFault::ConnectFailed;
+  if (!wasRefused || route_.effect_ != RouteEffect::Idempotent ||
+      aAttempts.countedAttempts_ >= route_.maxAttempts_) {
+    return false;
+  }
+  const auto delay = DelayBeforeReturn(context_.settings_.busyServersBackoff_,
+                                       aAttempts.returns_,
+                                       responseDeadline_ - aNow,
+                                       stats_.TypicalServerTime());
+  if (!delay) {
+    return false;
+  }
+  ++aAttempts.returns_;
+  aAttempts.returnAt_ = aNow + *delay;
+  aAttempts.triedPools_.clear();
+  // The limit on sends holds for each return.
+  aAttempts.sendCount_ = 1;
+  return true;
+}
+
+bool RequestHandler::ReturnIfDue(ServiceAttempts& aAttempts,
+                                 uint32_t aServiceIndex,
+                                 TimePoint aNow)
+{
+  if (aAttempts.returnAt_ > aNow) {
+    return true;
+  }
+  aAttempts.returnAt_ = TimePoint::max();
+  return TrySend(aAttempts, aServiceIndex, aNow);
+}
+
 bool RequestHandler::CompleteAttempt(ServiceAttempts& aAttempts,
                                      Exchange& aExchange,
                                      TimePoint aNow)
@@ -302,6 +337,7 @@
   aAttempts.outstanding_.clear();
   aAttempts.hedgeAt_ = TimePoint::max();
   aAttempts.preconnectAt_ = TimePoint::max();
+  aAttempts.returnAt_ = TimePoint::max();
 }
 
 void RequestHandler::OnCallerDisconnected(TimePoint aNow)
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -123,6 +123,9 @@
     /// When a connection is opened in advance for the hedge.
     TimePoint preconnectAt_ = TimePoint::max();
     ExchangeFault lastFault_ = ExchangeFault::None;
+    /// When the request returns to servers that all refused a connection.
+    TimePoint returnAt_ = TimePoint::max();
+    uint32_t returns_ = 0;
   };
 
   virtual void HandleTimer(TimePoint aNow) = 0;
@@ -163,6 +166,17 @@
                 uint32_t aServiceIndex,
                 bool aIsRequired,
                 TimePoint aNow);
+  /// Schedules a return to the servers after each of them has refused a new
+  /// connection, if the route's effect and the time left allow it.
+  ///
+  /// @return whether a return is scheduled.
+  bool TryReturnLater(ServiceAttempts& aAttempts, TimePoint aNow);
+  /// Sends the attempt that TryReturnLater() scheduled, once it is due.
+  ///
+  /// @return false when it is due and no server accepts requests.
+  bool ReturnIfDue(ServiceAttempts& aAttempts,
+                   uint32_t aServiceIndex,
+                   TimePoint aNow);
   /// Removes a finished exchange from the outstanding attempts and records its
   /// outcome and latency.
   ///
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -59,7 +59,8 @@
   if (aExchange.outcome_ == ExchangeOutcome::Answered) {
     OnReply(aExchange, aNow);
   } else if (attempts_.outstanding_.empty() &&
-             !TryRetry(attempts_, 0, true, aNow)) {
+             !TryRetry(attempts_, 0, true, aNow) &&
+             !TryReturnLater(attempts_, aNow)) {
     if (serverFailure_) {
       Finish(ForwardServerReply(*std::move(serverFailure_)), aNow);
     } else {
@@ -101,12 +102,20 @@
   }
   PreconnectIfDue(attempts_, aNow);
   HedgeIfDue(attempts_, 0, true, aNow);
+  if (!ReturnIfDue(attempts_, 0, aNow)) {
+    Finish(FailureAnswer("no backend server of the service " +
+                           attempts_.service_.Value() + " accepts requests",
+                         false),
+           aNow);
+  }
 }
 
 TimePoint SingleRequestHandler::NextTimerAt(TimePoint) const
 {
-  return std::min(
-    { responseDeadline_, attempts_.preconnectAt_, attempts_.hedgeAt_ });
+  return std::min({ responseDeadline_,
+                    attempts_.preconnectAt_,
+                    attempts_.hedgeAt_,
+                    attempts_.returnAt_ });
 }
 
 ForwardAnswer SingleRequestHandler::ForwardServerReply(
--- a/tests/forward/GatherRequestHandlerTest.cpp
+++ b/tests/forward/GatherRequestHandlerTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
+#include <thread>
 
 using namespace foxtail;
 
@@ -214,3 +215,28 @@
   std::this_thread::sleep_for(milliseconds(400));
   CHECK(one.Requests().size() == 1);
 }
+
+// After a power loss, servers still hold the connections of the previous
+// instances and reset new ones until these have expired.
+TEST_CASE(
+  "a query returns to a shard whose servers refuse connections for a while")
+{
+  ResettingServer full;
+  ScriptedServer sound([](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply(RecordOf('b'), "sig-2") };
+  });
+  ForwardFixture fixture;
+  fixture.SetRoutes(GatherRoute({ "s1", "s2" }, 1));
+  fixture.Announce("i-1", "s1", full.Address());
+  fixture.Announce("i-2", "s2", sound.Address());
+  std::thread recovery([&] {
+    std::this_thread::sleep_for(milliseconds(250));
+    full.AcceptFromNowOn(SignedReply(RecordOf('a'), "sig-1"));
+  });
+  const HttpResponse response = fixture.Get("/all/1", seconds(2));
+  recovery.join();
+  CHECK(response.result_int() == 200);
+  CHECK(response.body() == RecordOf('b') + RecordOf('a'));
+  CHECK(full.Connections() >= 3);
+  CHECK(full.Connections() < 12);
+}
