A startup lasts until an instance can serve, 4 s at most

Change: after 1.3 s, callers with time are told to return after 0.4 s and others are held, up to 4 s after the start. The test of a second election failed before (the startup was over).

--- a/src/policy/StartupHold.cpp
+++ b/src/policy/StartupHold.cpp
@@ -9,10 +9,12 @@
                                     TimePoint aDeadline,
                                     TimePoint aNow)
 {
-  const TimePoint startupEnd = aStartedAt + aSettings.startupTime_;
-  if (aNow >= startupEnd || aNow >= aDeadline) {
+  if (aNow >= aStartedAt + aSettings.maxStartupTime_ || aNow >= aDeadline) {
     return StartupOver{};
   }
+  const TimePoint usualEnd = aStartedAt + aSettings.startupTime_;
+  const TimePoint startupEnd =
+    aNow < usualEnd ? usualEnd : aNow + aSettings.extension_;
   if (aDeadline >= startupEnd + aSettings.minTimeAfterReturn_) {
     return ReturnLater{ std::chrono::ceil<milliseconds>(startupEnd - aNow) };
   }
--- a/src/policy/StartupHold.h
+++ b/src/policy/StartupHold.h
@@ -10,9 +10,14 @@
 struct StartupHoldSettings
 {
   /// Time after the start of a process within which the routes and the
-  /// announcements of the backend servers arrive, also when all instances
-  /// start together.
+  /// announcements of the backend servers usually arrive, also when all
+  /// instances start together.
   milliseconds startupTime_{ 1300 };
+  /// Longest startup: control instances may need further elections.
+  milliseconds maxStartupTime_{ 4000 };
+  /// Time until the next attempt of a caller when the startup takes longer than
+  /// usual.
+  milliseconds extension_{ 400 };
   /// Time that a caller needs to be served after it has come back.
   milliseconds minTimeAfterReturn_{ 500 };
   /// Largest share, 0 to 1, of a request's remaining time for which it is held.
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -35,7 +35,7 @@
   static ForwardSettings StartedSettings()
   {
     ForwardSettings settings;
-    settings.startupHold_.startupTime_ = milliseconds(0);
+    settings.startupHold_.maxStartupTime_ = milliseconds(0);
     return settings;
   }
 
--- a/tests/forward/HeldRequestsTest.cpp
+++ b/tests/forward/HeldRequestsTest.cpp
@@ -13,6 +13,7 @@
 {
   ForwardSettings settings;
   settings.startupHold_.startupTime_ = kStartupTime;
+  settings.startupHold_.maxStartupTime_ = kStartupTime;
   return settings;
 }
 
--- a/tests/policy/StartupHoldTest.cpp
+++ b/tests/policy/StartupHoldTest.cpp
@@ -49,8 +49,19 @@
   const auto isOver = [](const StartupDecision& aDecision) {
     return std::holds_alternative<StartupOver>(aDecision);
   };
-  CHECK(isOver(Decide(kSettings.startupTime_, seconds(6))));
+  CHECK(isOver(Decide(kSettings.maxStartupTime_, seconds(6))));
   CHECK(isOver(Decide(seconds(60), milliseconds(300))));
   CHECK(isOver(Decide(milliseconds(200), milliseconds(0))));
   CHECK(isOver(Decide(milliseconds(200), milliseconds(-50))));
 }
+
+TEST_CASE("startup: control instances that need a second election")
+{
+  // The routes arrive 1.3 s after the start instead of 0.7 s.
+  const StartupDecision returning = Decide(milliseconds(1400), seconds(2));
+  REQUIRE(std::holds_alternative<ReturnLater>(returning));
+  CHECK(std::get<ReturnLater>(returning).retryAfter_ == kSettings.extension_);
+  const StartupDecision held = Decide(milliseconds(1400), milliseconds(700));
+  REQUIRE(std::holds_alternative<HoldUntil>(held));
+  CHECK(std::get<HoldUntil>(held).until_ == kProcessStart + milliseconds(1750));
+}
