Hold all requests after the usual startup

Change: after the usual time every request that cannot be served yet is held, up to 4 s after the start and half of its time.

--- a/src/policy/StartupHold.cpp
+++ b/src/policy/StartupHold.cpp
@@ -9,18 +9,19 @@
                                     TimePoint aDeadline,
                                     TimePoint aNow)
 {
-  if (aNow >= aStartedAt + aSettings.maxStartupTime_ || aNow >= aDeadline) {
+  const TimePoint usualEnd = aStartedAt + aSettings.startupTime_;
+  const TimePoint latestEnd = aStartedAt + aSettings.maxStartupTime_;
+  if (aNow >= latestEnd || aNow >= aDeadline) {
     return StartupOver{};
   }
-  const TimePoint usualEnd = aStartedAt + aSettings.startupTime_;
-  const TimePoint startupEnd =
-    aNow < usualEnd ? usualEnd : aNow + aSettings.extension_;
-  if (aDeadline >= startupEnd + aSettings.minTimeAfterReturn_) {
-    return ReturnLater{ std::chrono::ceil<milliseconds>(startupEnd - aNow) };
+  const bool canReturn =
+    aNow < usualEnd && aDeadline >= usualEnd + aSettings.minTimeAfterReturn_;
+  if (canReturn) {
+    return ReturnLater{ std::chrono::ceil<milliseconds>(usualEnd - aNow) };
   }
   const auto longest =
     duration_cast<Duration>((aDeadline - aNow) * aSettings.maxShareOfTimeLeft_);
-  return HoldUntil{ std::min(startupEnd, aNow + longest) };
+  return HoldUntil{ std::min(latestEnd, aNow + longest) };
 }
 
 } // namespace foxtail
--- a/src/policy/StartupHold.h
+++ b/src/policy/StartupHold.h
@@ -15,9 +15,6 @@
   milliseconds startupTime_{ 1300 };
   /// Longest startup: control instances may need further elections.
   milliseconds maxStartupTime_{ 4000 };
-  /// Time until the next attempt of a caller when the startup takes longer than
-  /// usual.
-  milliseconds extension_{ 400 };
   /// Time that a caller needs to be served after it has come back.
   milliseconds minTimeAfterReturn_{ 500 };
   /// Largest share, 0 to 1, of a request's remaining time for which it is held.
@@ -43,6 +40,8 @@
 /// power loss, callers come back before the routes and the announcements do. A
 /// caller with enough time is told when to return, since its answer can then be
 /// in time; one with less may be at its last attempt, so its request is held.
+/// After the usual time all are held, as they may have been told to return
+/// then.
 ///
 /// @param aStartedAt start of this process.
 /// @param aDeadline when the caller must have a final answer.
