--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -190,6 +190,7 @@
   }
   const Route* route = table_->Find(aRequest.host_, PathOf(aRequest.target_));
   if (route == nullptr) {
+    // Such a request is refused; there is nothing to wait for.
     return true;
   }
   const std::vector<ServiceName> services = ServicesOf(route->target_);
--- a/src/policy/SlowServerBoard.cpp
+++ b/src/policy/SlowServerBoard.cpp
@@ -38,7 +38,10 @@
 
 bool SlowServerBoard::IsConfirmed(const Row& aRow) const
 {
-  if (aRow.byReporter_.size() < std::max<size_t>(settings_.minReporters_, 3)) {
+  // The span between the second and the last but one request needs three.
+  constexpr size_t kMinObservations = 3;
+  if (aRow.byReporter_.size() <
+      std::max<size_t>(settings_.minReporters_, kMinObservations)) {
     return false;
   }
   std::vector<TimePoint> times;
