forward: log the rate limits that backend servers state

Decisions are unchanged.

Change: the limit is read from each reply; server_rate_limit lines (begin, each 5 s, end), a gauge of limited servers and a counter of requests to them.

It is read and nothing uses it.

--- a/src/forward/HeaderNames.h
+++ b/src/forward/HeaderNames.h
@@ -25,6 +25,9 @@
   /// followed by the execution time in percent of the usual one, separated by
   /// commas.
   std::string load_ = "Foxtail-Load";
+  /// Requests per second that the backend server accepts from all instances
+  /// together, a decimal number; it holds until a reply without it.
+  std::string rateLimit_ = "Foxtail-Rate-Limit";
   /// Signatures of the parts in a merged answer, separated by commas.
   std::string partSignatures_ = "Foxtail-Part-Signatures";
   /// Number of shards whose parts are missing from an answer.
--- a/src/forward/ServerConnection.cpp
+++ b/src/forward/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -56,6 +57,19 @@
   return load;
 }
 
+StatedRateLimit ParseRateLimit(std::string_view aText)
+{
+  StatedRateLimit limit;
+  double perSecond = 0;
+  if (ParseNumber(aText, perSecond) && aText.empty() &&
+      std::isfinite(perSecond) && perSecond >= 0) {
+    limit.perSecond_ = perSecond;
+  } else {
+    limit.isMalformed_ = true;
+  }
+  return limit;
+}
+
 ServerConnection::ServerConnection(asio::io_context& aContext,
                                    asio::ip::tcp::endpoint aEndpoint,
                                    std::string aServer,
@@ -317,6 +331,11 @@
   if (const auto load = reply.find(headerNames_.load_); load != reply.end()) {
     load_ = ParseServerLoad({ load->value().data(), load->value().size() });
   }
+  const auto limit = reply.find(headerNames_.rateLimit_);
+  rateLimit_ =
+    limit == reply.end()
+      ? StatedRateLimit{}
+      : ParseRateLimit({ limit->value().data(), limit->value().size() });
   Exchange& exchange = *exchange_;
   ClassifyReply(exchange, reply);
   const bool isMismatched = exchange.fault_ == ExchangeFault::RequestIdMismatch;
--- a/src/forward/ServerConnection.h
+++ b/src/forward/ServerConnection.h
@@ -54,6 +54,19 @@
   double slowness_ = 1;
 };
 
+/// Limit on the rate of requests from all instances together, as a reply states
+/// it.
+struct StatedRateLimit
+{
+  /// Requests per second; nothing when the reply states no limit.
+  std::optional<double> perSecond_;
+  /// Whether the header is present, but its value is not a number of requests.
+  bool isMalformed_ = false;
+};
+
+/// @return the limit in @p aText, the value of the header.
+StatedRateLimit ParseRateLimit(std::string_view aText);
+
 /// @return the load figures in @p aText, or nothing when they are malformed.
 std::optional<ReportedServerLoad> ParseServerLoad(std::string_view aText);
 
@@ -91,6 +104,8 @@
   /// @return the time after which the connection is closed when idle.
   milliseconds IdleLimit() const { return idleLimit_; }
   const std::optional<ReportedServerLoad>& Load() const { return load_; }
+  /// @return the rate limit in the latest reply.
+  const StatedRateLimit& RateLimit() const { return rateLimit_; }
   /// @return whether the reply to a request with this id is distinguishable
   /// from a late second copy of the reply before.
   bool CanCarry(const RequestId& aRequest) const
@@ -143,6 +158,7 @@
   bool hasRead_ = false;
   milliseconds idleLimit_;
   std::optional<ReportedServerLoad> load_;
+  StatedRateLimit rateLimit_;
   std::shared_ptr<Exchange> exchange_;
   RequestId lastRequestId_;
   uint32_t requestsSent_ = 0;
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -1,5 +1,6 @@
 #include "forward/ServerConnectionPool.h"
 
+#include "core/Log.h"
 #include "core/Metrics.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 /// failure up to kMaxUnreachableBackoff.
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
 constexpr milliseconds kMaxUnreachableBackoff{ 2000 };
+/// Interval of the log lines about one server that states a rate limit.
+constexpr seconds kRateLimitLogInterval{ 5 };
 
 /// @return the round trip that is assumed until the first connect is timed.
 Duration InitialRoundTrip(ZoneDistance aDistance)
@@ -57,6 +60,12 @@
       aMetrics.Counter("foxtail_forward_closed_abandoned_total",
                        "Connections closed to end abandoned work"))
   , sent_{}
+  , rateLimitedServers_(
+      aMetrics.Gauge("foxtail_forward_rate_limited_servers",
+                     "Backend servers that state a limit on the request rate"))
+  , sentToRateLimited_(
+      aMetrics.Counter("foxtail_forward_sent_to_rate_limited_total",
+                       "Requests written to such servers"))
 {
   for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     sent_[static_cast<size_t>(row.value_)] =
@@ -91,6 +100,9 @@
   for (const auto& connection : connections_) {
     connection->CloseWithoutNotice();
   }
+  if (rateLimit_) {
+    shared_.metrics_.rateLimitedServers_.Decrement();
+  }
 }
 
 void ServerConnectionPool::Update(const ServerAnnouncement& aAnnouncement,
@@ -227,6 +239,10 @@
     exchange->outstandingAtSend_ = static_cast<uint32_t>(sentTimes_.size());
     sentTimes_.insert(aNow);
     shared_.metrics_.sent_[static_cast<size_t>(distance_)]->Increment();
+    if (rateLimit_) {
+      shared_.metrics_.sentToRateLimited_.Increment();
+      ++sentSinceRateLimitLog_;
+    }
     connection->Send(exchange, aNow);
   }
   while (waiting_.size() > connecting_ &&
@@ -310,6 +326,7 @@
     loadReceivedAt_ = aNow;
     slowness_.OnReported(load_->slowness_, aNow);
   }
+  RecordRateLimit(aConnection.RateLimit(), *aExchange, aNow);
   RecordOutcome(*aExchange, aNow);
   if (aConnection.State() == ServerConnectionState::Closed) {
     RemoveConnection(aConnection);
@@ -410,6 +427,68 @@
   unreachableUntil_ = aNow + unreachableBackoff_;
 }
 
+void ServerConnectionPool::RecordRateLimit(const StatedRateLimit& aLimit,
+                                           const Exchange& aExchange,
+                                           TimePoint aNow)
+{
+  const bool isFromServer =
+    aExchange.outcome_ == ExchangeOutcome::Answered ||
+    (aExchange.outcome_ == ExchangeOutcome::Refused &&
+     aExchange.fault_ != ExchangeFault::WrongServer);
+  if (!isFromServer) {
+    return;
+  }
+  if (aLimit.isMalformed_) {
+    if (!hasLoggedMalformedLimit_) {
+      LogLine(LogLevel::Warning, "server_rate_limit_unreadable")
+        .Add("server", announcement_.id_)
+        .Add("service", announcement_.service_)
+        .Add("remedy", "state a decimal number of requests per second");
+    }
+    hasLoggedMalformedLimit_ = true;
+    return;
+  }
+  if (aLimit.perSecond_) {
+    rateLimitStatedAt_ = aNow;
+    SetRateLimit(aLimit.perSecond_, aNow);
+  } else if (aExchange.sentAt_ >= rateLimitStatedAt_) {
+    // A reply to an earlier request may have left the server before the limit
+    // began and been overtaken by the reply that states it.
+    SetRateLimit(std::nullopt, aNow);
+  }
+}
+
+void ServerConnectionPool::SetRateLimit(std::optional<double> aPerSecond,
+                                        TimePoint aNow)
+{
+  const bool isBeginOrEnd = rateLimit_.has_value() != aPerSecond.has_value();
+  rateLimit_ = aPerSecond;
+  if (isBeginOrEnd) {
+    shared_.metrics_.rateLimitedServers_.Increment(rateLimit_ ? 1 : -1);
+  }
+  if (isBeginOrEnd ||
+      (rateLimit_ && aNow - rateLimitLoggedAt_ >= kRateLimitLogInterval)) {
+    LogRateLimit(aNow);
+  }
+}
+
+void ServerConnectionPool::LogRateLimit(TimePoint aNow)
+{
+  LogLine line(LogLevel::Info, "server_rate_limit");
+  line.Add("server", announcement_.id_)
+    .Add("service", announcement_.service_)
+    .Add("state", rateLimit_ ? "limited" : "ended")
+    .Add("sent", sentSinceRateLimitLog_);
+  if (rateLimit_) {
+    line.Add("limit_per_s", *rateLimit_);
+  }
+  if (rateLimitLoggedAt_ != TimePoint{}) {
+    line.Add("since_last_line_ms", ToMilliseconds(aNow - rateLimitLoggedAt_));
+  }
+  rateLimitLoggedAt_ = aNow;
+  sentSinceRateLimitLog_ = 0;
+}
+
 void ServerConnectionPool::NotifyListener(
   const std::shared_ptr<Exchange>& aExchange,
   TimePoint aNow)
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <set>
 
 namespace foxtail {
@@ -26,6 +27,8 @@
   prometheus::Counter& closedAbandoned_;
   /// Requests written, indexed by the server's ZoneDistance.
   std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
+  prometheus::Gauge& rateLimitedServers_;
+  prometheus::Counter& sentToRateLimited_;
 };
 
 /// State that all pools of an instance share.
@@ -125,6 +128,13 @@
   void RecordOutcome(const Exchange& aExchange, TimePoint aNow);
   void RecordLatency(const Exchange& aExchange, TimePoint aNow);
   void RecordConnectFailure(TimePoint aNow);
+  /// Applies the rate limit that a reply to @p aExchange states, or its end.
+  void RecordRateLimit(const StatedRateLimit& aLimit,
+                       const Exchange& aExchange,
+                       TimePoint aNow);
+  void SetRateLimit(std::optional<double> aPerSecond, TimePoint aNow);
+  /// Logs the limit and the requests sent since the line before.
+  void LogRateLimit(TimePoint aNow);
   static void NotifyListener(const std::shared_ptr<Exchange>& aExchange,
                              TimePoint aNow);
 
@@ -155,6 +165,13 @@
   milliseconds unreachableBackoff_{ 0 };
   std::optional<ReportedServerLoad> load_;
   TimePoint loadReceivedAt_{};
+  /// Requests per second that the server accepts from all instances together.
+  std::optional<double> rateLimit_;
+  /// When a reply last stated a limit.
+  TimePoint rateLimitStatedAt_{};
+  TimePoint rateLimitLoggedAt_{};
+  uint32_t sentSinceRateLimitLog_ = 0;
+  bool hasLoggedMalformedLimit_ = false;
 };
 
 } // namespace foxtail
