--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -431,10 +431,9 @@
                                            const Exchange& aExchange,
                                            TimePoint aNow)
 {
-  const bool isFromServer =
-    aExchange.outcome_ == ExchangeOutcome::Answered ||
-    (aExchange.outcome_ == ExchangeOutcome::Refused &&
-     aExchange.fault_ != ExchangeFault::WrongServer);
+  const bool isFromServer = aExchange.outcome_ == ExchangeOutcome::Answered ||
+                            (aExchange.outcome_ == ExchangeOutcome::Refused &&
+                             aExchange.fault_ != ExchangeFault::WrongServer);
   if (!isFromServer) {
     return;
   }
--- a/tests/forward/SingleRequestHandlerTest.cpp
+++ b/tests/forward/SingleRequestHandlerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace foxtail;
 
@@ -22,6 +23,20 @@
          "\r\nContent-Length: 4\r\n\r\nfail";
 }
 
+/// @return the request id in a raw request.
+std::string IdOf(const std::string& aRequest)
+{
+  const std::string name = kHeaders.requestId_ + ": ";
+  const size_t at = aRequest.find(name) + name.size();
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+/// @return a raw reply with one more header line.
+std::string WithHeader(std::string aReply, const std::string& aLine)
+{
+  return aReply.insert(aReply.find("\r\n") + 2, aLine + "\r\n");
+}
+
 std::string_view SignatureOf(const HttpResponse& aResponse)
 {
   return HeaderOf(aResponse, kHeaders.signature_);
@@ -319,3 +334,39 @@
     CHECK(leaving.Requests().size() == before);
   }
 }
+
+// Guards against a backend server that receives far more requests than the
+// limit that it states, since each instance sends as if there were none.
+TEST_CASE("instances keep to their shares of a server's stated rate limit")
+{
+  constexpr int kRequests = 60;
+  constexpr milliseconds kInterval{ 20 };
+  constexpr double kLimit = 10;
+  constexpr uint32_t kInstances = 2;
+  ScriptedServer limited([&](const std::string& aRequest, size_t) {
+    return ScriptedReply{ WithHeader(
+      SignedReply("limited", "sig-1", IdOf(aRequest)),
+      kHeaders.rateLimit_ + ": " + std::to_string(kLimit)) };
+  });
+  ScriptedServer unlimited([](const std::string& aRequest, size_t) {
+    return ScriptedReply{ SignedReply("other", "sig-2", IdOf(aRequest)),
+                          milliseconds(8) };
+  });
+  ForwardFixture fixture;
+  fixture.RunOnGatewayThread(
+    [&] { fixture.GetGateway().SetInstances(kInstances); });
+  fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::Idempotent));
+  fixture.Announce("i-1", "proofs", limited.Address());
+  fixture.Announce("i-2", "proofs", unlimited.Address());
+  const TimePoint begin = Now();
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(fixture.Get("/proofs/1", seconds(2), "r-" + std::to_string(i))
+            .result_int() == 200);
+    std::this_thread::sleep_for(kInterval);
+  }
+  const double elapsed = std::chrono::duration<double>(Now() - begin).count();
+  // One and a half times the limit and five requests, as servers tolerate from
+  // all instances together; this one has an equal share.
+  CHECK(static_cast<double>(limited.Requests().size()) <=
+        (1.5 * kLimit * elapsed + 5) / kInstances);
+}
