Keep to the rate limits that backend servers state, by equal shares

Cause: the limit in a server's reply was not used: only slots, connections and measured latency bounded what an instance sends, and all instances together were bounded by connections only. Class: a bound over all instances that no instance keeps its part of.

Change: RateLimitShare (policy) gives each instance one permit an interval of instances / limit, with a random phase; unused permits expire after a second, so that instances that were idle do not send a burst together. The choice of a server counts the wait for its permit; hedges, retries and returns need a permit too. What no permit allows within the objective is refused at once as not run, with Retry-After, and a query is checked before any shard's permit is spent on it.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -126,7 +126,7 @@
 
 void EdgeInstance::OnFeedEntryCount(uint32_t aEntryCount,
                                     bool aIsComplete,
-                                    TimePoint)
+                                    TimePoint aNow)
 {
   const uint32_t before = gateway_.InstanceCount();
   // Each instance uses its part of common limits; with a count that is too low,
@@ -140,7 +140,7 @@
     .Add("before", before)
     .Add("now", after)
     .Add("complete", aIsComplete);
-  gateway_.SetInstances(after);
+  gateway_.SetInstances(after, aNow);
 }
 
 void EdgeInstance::ScheduleReadinessCheck()
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -25,7 +25,8 @@
   , headerNames_(aHeaderNames)
   , shared_{ ServerConnectionPoolMetrics(aMetrics),
              ReplyMemory(aSettings.replyMemory_),
-             {} }
+             {},
+             RandomSource(aSeed + 1) }
   , random_(aSeed)
 {
 }
@@ -82,10 +83,19 @@
   }
 }
 
+void BackendPoolSet::SetInstances(uint32_t aInstances, TimePoint aNow)
+{
+  instances_ = aInstances;
+  for (const auto& [id, pool] : byId_) {
+    pool->SetInstances(instances_, aNow);
+  }
+}
+
 std::optional<PoolChoice> BackendPoolSet::Choose(const ServiceName& aService,
                                                  const PoolList& aTried,
                                                  Duration aServerTime,
                                                  double aBudgetUsed,
+                                                 TimePoint aLatestSendAt,
                                                  TimePoint aNow)
 {
   const auto found = byService_.find(aService);
@@ -95,7 +105,7 @@
   absl::InlinedVector<ReplicaCandidate, 12> states;
   absl::InlinedVector<const std::shared_ptr<ServerConnectionPool>*, 12> pools;
   for (const auto& pool : found->second) {
-    if (pool->AcceptsRequests() &&
+    if (pool->AcceptsRequests() && pool->NextPermitAt(aNow) <= aLatestSendAt &&
         std::find(aTried.begin(), aTried.end(), pool.get()) == aTried.end()) {
       states.push_back(pool->State(aNow));
       pools.push_back(&pool);
@@ -106,7 +116,26 @@
   if (!choice) {
     return std::nullopt;
   }
-  return PoolChoice{ *pools[choice->index_], choice->predicted_ };
+  const auto& pool = *pools[choice->index_];
+  return PoolChoice{ pool, pool->NextPermitAt(aNow), choice->predicted_ };
+}
+
+std::optional<TimePoint> BackendPoolSet::EarliestSendAt(
+  const ServiceName& aService,
+  TimePoint aNow) const
+{
+  std::optional<TimePoint> earliest;
+  const auto found = byService_.find(aService);
+  if (found == byService_.end()) {
+    return earliest;
+  }
+  for (const auto& pool : found->second) {
+    if (pool->AcceptsRequests()) {
+      const TimePoint sendAt = pool->NextPermitAt(aNow);
+      earliest = std::min(earliest.value_or(sendAt), sendAt);
+    }
+  }
+  return earliest;
 }
 
 bool BackendPoolSet::HasAvailableServer(const ServiceName& aService) const
@@ -164,6 +193,7 @@
   pool->SetMaxConnections(maxConnections == maxConnectionsByService_.end()
                             ? kUnknownServiceMaxConnections
                             : maxConnections->second);
+  pool->SetInstances(instances_, aNow);
   byService_[aAnnouncement.service_].push_back(pool);
   byId_[aAnnouncement.id_] = std::move(pool);
 }
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -17,6 +17,8 @@
 struct PoolChoice
 {
   std::shared_ptr<ServerConnectionPool> pool_;
+  /// When the attempt may be sent under the server's rate limit.
+  TimePoint sendAt_{};
   Duration predicted_{};
 };
 
@@ -44,19 +46,32 @@
   /// at least 1.
   void DistributeConnections(const RouteTable& aTable, uint32_t aInstances);
 
+  /// Sets the number of instances that share the servers' rate limits, at least
+  /// 1.
+  void SetInstances(uint32_t aInstances, TimePoint aNow);
+
   /// Chooses the server of a service with the lowest predicted latency for an
   /// attempt.
   ///
   /// @param aTried pools that are excluded.
   /// @param aServerTime usual server time of the request.
   /// @param aBudgetUsed used share of the budget of extra attempts, 0 to 1.
-  /// @return nothing when no other server of the service accepts requests.
+  /// @param aLatestSendAt servers whose rate limit allows the attempt later
+  /// than this are excluded.
+  /// @return nothing when no other server of the service accepts requests in
+  /// time.
   std::optional<PoolChoice> Choose(const ServiceName& aService,
                                    const PoolList& aTried,
                                    Duration aServerTime,
                                    double aBudgetUsed,
+                                   TimePoint aLatestSendAt,
                                    TimePoint aNow);
 
+  /// @return the earliest time at which a server of the service accepts a
+  /// request under its rate limit, or nothing when no server accepts requests.
+  std::optional<TimePoint> EarliestSendAt(const ServiceName& aService,
+                                          TimePoint aNow) const;
+
   /// @return whether any server of the service accepts requests.
   bool HasAvailableServer(const ServiceName& aService) const;
 
@@ -95,6 +110,7 @@
   /// Pools of removed servers, kept until their last exchange has finished.
   std::vector<std::shared_ptr<ServerConnectionPool>> retired_;
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
+  uint32_t instances_ = 1;
 };
 
 } // namespace foxtail
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -102,12 +102,14 @@
   Abandoned,
   /// The server was removed from the directory.
   ServerRemoved,
+  /// The rate limits of the servers allowed no request in time.
+  RateLimited,
 };
 
 template<>
 struct EnumTable<ExchangeFault>
 {
-  static constexpr std::array<EnumName<ExchangeFault>, 16> kRows{ {
+  static constexpr std::array<EnumName<ExchangeFault>, 17> kRows{ {
     { ExchangeFault::None, "none" },
     { ExchangeFault::Shed, "shed" },
     { ExchangeFault::WrongServer, "wrong_server" },
@@ -124,6 +126,7 @@
     { ExchangeFault::TimedOut, "timed_out" },
     { ExchangeFault::Abandoned, "abandoned" },
     { ExchangeFault::ServerRemoved, "retired" },
+    { ExchangeFault::RateLimited, "rate_limited" },
   } };
 };
 
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -82,6 +82,10 @@
   milliseconds defaultDeadline_{ 30000 };
   /// Retry-After of a refusal for which there is no better estimate.
   milliseconds retryAfter_{ 50 };
+  /// Longest Retry-After of a refusal by a server's rate limit. A caller that
+  /// returns usually reaches another instance, whose permits have another
+  /// phase.
+  milliseconds maxRateLimitRetryAfter_{ 500 };
 };
 
 } // namespace foxtail
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -99,6 +99,7 @@
                                 "Requests held while the instance started"))
   , tickTimer_(aContext)
 {
+  pools_.SetInstances(instances_, TimePoint{});
 }
 
 Gateway::~Gateway() = default;
@@ -168,13 +169,14 @@
   pools_.OnSlowServer(std::move(aCallback));
 }
 
-void Gateway::SetInstances(uint32_t aInstances)
+void Gateway::SetInstances(uint32_t aInstances, TimePoint aNow)
 {
   const uint32_t instances = std::max<uint32_t>(aInstances, 1);
   if (instances == instances_) {
     return;
   }
   instances_ = instances;
+  pools_.SetInstances(instances_, aNow);
   for (auto& [service, budget] : budgets_) {
     budget.SetInstances(instances_);
   }
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -43,9 +43,9 @@
   /// Sets the function that receives the servers that this instance finds slow.
   /// Called before Start().
   void OnSlowServer(SlowServerReporter::Callback aCallback);
-  /// @param aInstances number of entry instances that share connections and
-  /// budgets.
-  void SetInstances(uint32_t aInstances);
+  /// @param aInstances number of entry instances that share connections,
+  /// budgets and rate limits.
+  void SetInstances(uint32_t aInstances, TimePoint aNow);
 
   /// Begins a request, or holds it while this instance is starting. @p
   /// aOnComplete is called once, possibly from within this call, unless the
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -31,22 +31,40 @@
 
 void GatherRequestHandler::Start(TimePoint aNow)
 {
-  const auto available = static_cast<uint32_t>(std::count_if(
-    attempts_.begin(), attempts_.end(), [&](const ServiceAttempts& aAttempts) {
-      return context_.pools_.HasAvailableServer(aAttempts.service_);
-    }));
   const auto shards = static_cast<uint32_t>(attempts_.size());
-  if (available < RequiredShards(shards, target_.leastShare_)) {
-    Finish(FailureAnswer(
-             std::to_string(available) + " of " + std::to_string(shards) +
+  const uint32_t required = RequiredShards(shards, target_.leastShare_);
+  const TimePoint latestSendAt = LatestSendAt(aNow);
+  std::vector<TimePoint> earliest;
+  for (const ServiceAttempts& attempts : attempts_) {
+    if (const auto at =
+          context_.pools_.EarliestSendAt(attempts.service_, aNow)) {
+      earliest.push_back(*at);
+    }
+  }
+  std::sort(earliest.begin(), earliest.end());
+  if (earliest.size() < required) {
+    Finish(RefusalAnswer(
+             std::to_string(earliest.size()) + " of " + std::to_string(shards) +
                " shards have a backend server that accepts requests, too few "
                "for an answer; try again, and check the announcements",
-             false),
+             std::nullopt,
+             aNow),
+           aNow);
+    return;
+  }
+  // Checked before the first attempt, so that no shard's rate is spent on a
+  // query that cannot succeed.
+  if (const TimePoint enoughAt = earliest[required - 1];
+      enoughAt > latestSendAt) {
+    Finish(RefusalAnswer("too many shards limit the rate of requests; come "
+                         "back after the time that is stated",
+                         enoughAt,
+                         aNow),
            aNow);
     return;
   }
   for (uint32_t i = 0; i < shards; ++i) {
-    if (!TrySend(attempts_[i], i, aNow)) {
+    if (!TrySend(attempts_[i], i, latestSendAt, aNow)) {
       parts_[i].state_ = PartState::Missing;
       ++missing_;
     }
@@ -101,7 +119,7 @@
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
     PreconnectIfDue(attempts_[i], aNow);
     HedgeIfDue(attempts_[i], i, isRequired, aNow);
-    if (!ReturnIfDue(attempts_[i], i, aNow)) {
+    if (!SendIfDue(attempts_[i], i, aNow)) {
       SetPartState(i, PartState::Missing, aNow);
       if (IsDone()) {
         return;
@@ -115,7 +133,7 @@
   TimePoint next = NextGatherEvaluation(Progress(aNow), aNow);
   for (const ServiceAttempts& attempts : attempts_) {
     next = std::min(
-      { next, attempts.preconnectAt_, attempts.hedgeAt_, attempts.returnAt_ });
+      { next, attempts.preconnectAt_, attempts.hedgeAt_, attempts.sendAt_ });
   }
   return next;
 }
@@ -132,7 +150,7 @@
              std::count_if(attempts_.begin(),
                            attempts_.end(),
                            [](const ServiceAttempts& aAttempts) {
-                             return aAttempts.returnAt_ != TimePoint::max();
+                             return aAttempts.IsReturning();
                            })) };
 }
 
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -117,6 +117,7 @@
 
 std::optional<PoolChoice> RequestHandler::ChooseServer(
   const ServiceAttempts& aAttempts,
+  TimePoint aLatestSendAt,
   TimePoint aNow)
 {
   return context_.pools_.Choose(
@@ -124,17 +125,48 @@
     aAttempts.triedPools_,
     stats_.TypicalServerTime(),
     context_.budgetOf_(aAttempts.service_).UsedFraction(aNow),
+    aLatestSendAt,
     aNow);
 }
 
+TimePoint RequestHandler::LatestSendAt(TimePoint aNow) const
+{
+  constexpr double kMedian = 0.5;
+  const Duration latency = stats_.attemptLatency_.Count() < kMinSamples
+                             ? Duration(kDefaultServerTime)
+                             : stats_.attemptLatency_.Quantile(kMedian);
+  return std::max(aNow,
+                  std::min(ObjectiveAt(0, aNow), responseDeadline_) - latency);
+}
+
 bool RequestHandler::TrySend(ServiceAttempts& aAttempts,
                              uint32_t aServiceIndex,
+                             TimePoint aLatestSendAt,
                              TimePoint aNow)
 {
-  auto choice = ChooseServer(aAttempts, aNow);
+  const auto choice = ChooseServer(aAttempts, aLatestSendAt, aNow);
   if (!choice) {
+    if (context_.pools_.EarliestSendAt(aAttempts.service_, aNow) >
+        aLatestSendAt) {
+      aAttempts.lastFault_ = ExchangeFault::RateLimited;
+    }
     return false;
   }
+  choice->pool_->TakePermit(aNow);
+  if (choice->sendAt_ > aNow) {
+    aAttempts.sendAt_ = choice->sendAt_;
+    aAttempts.reservedPool_ = choice->pool_;
+    return true;
+  }
+  SendTo(choice->pool_, aAttempts, aServiceIndex, aNow);
+  return true;
+}
+
+void RequestHandler::SendTo(const std::shared_ptr<ServerConnectionPool>& aPool,
+                            ServiceAttempts& aAttempts,
+                            uint32_t aServiceIndex,
+                            TimePoint aNow)
+{
   auto exchange = std::make_shared<Exchange>();
   exchange->request_ = request_;
   exchange->deadline_ =
@@ -149,8 +181,8 @@
   if (aAttempts.sendCount_ == 1) {
     context_.budgetOf_(aAttempts.service_).OnRequest(aNow);
   }
-  aAttempts.triedPools_.push_back(choice->pool_.get());
-  aAttempts.outstanding_.push_back({ exchange, choice->pool_ });
+  aAttempts.triedPools_.push_back(aPool.get());
+  aAttempts.outstanding_.push_back({ exchange, aPool });
   const bool mayHedge = route_.effect_ == RouteEffect::Idempotent &&
                         aAttempts.outstanding_.size() == 1 &&
                         aAttempts.countedAttempts_ + 1 < route_.maxAttempts_;
@@ -171,8 +203,7 @@
       aNow + Fraction(delay, context_.settings_.preconnectShare_);
   }
   context_.link_.OnWrite(RequestBytes(*request_), aNow);
-  choice->pool_->Send(std::move(exchange), aNow);
-  return true;
+  aPool->Send(std::move(exchange), aNow);
 }
 
 void RequestHandler::PreconnectIfDue(ServiceAttempts& aAttempts, TimePoint aNow)
@@ -184,7 +215,7 @@
   if (aAttempts.outstanding_.empty()) {
     return;
   }
-  if (const auto next = ChooseServer(aAttempts, aNow)) {
+  if (const auto next = ChooseServer(aAttempts, aNow, aNow)) {
     next->pool_->Preconnect(aNow);
   }
 }
@@ -213,7 +244,7 @@
                   aNow)) {
     return;
   }
-  if (TrySend(aAttempts, aServiceIndex, aNow)) {
+  if (TrySend(aAttempts, aServiceIndex, aNow, aNow)) {
     ++hedges_;
   }
 }
@@ -244,7 +275,7 @@
                          .TryTake(BudgetReserve(aIsRequired), aNow)) {
     return false;
   }
-  if (!TrySend(aAttempts, aServiceIndex, aNow)) {
+  if (!TrySend(aAttempts, aServiceIndex, LatestSendAt(aNow), aNow)) {
     return false;
   }
   ++retries_;
@@ -268,22 +299,27 @@
     return false;
   }
   ++aAttempts.returns_;
-  aAttempts.returnAt_ = aNow + *delay;
+  aAttempts.sendAt_ = aNow + *delay;
   aAttempts.triedPools_.clear();
   // The limit on sends holds for each return.
   aAttempts.sendCount_ = 1;
   return true;
 }
 
-bool RequestHandler::ReturnIfDue(ServiceAttempts& aAttempts,
-                                 uint32_t aServiceIndex,
-                                 TimePoint aNow)
+bool RequestHandler::SendIfDue(ServiceAttempts& aAttempts,
+                               uint32_t aServiceIndex,
+                               TimePoint aNow)
 {
-  if (aAttempts.returnAt_ > aNow) {
+  if (aAttempts.sendAt_ > aNow) {
     return true;
   }
-  aAttempts.returnAt_ = TimePoint::max();
-  return TrySend(aAttempts, aServiceIndex, aNow);
+  aAttempts.sendAt_ = TimePoint::max();
+  const auto reserved = std::exchange(aAttempts.reservedPool_, nullptr);
+  if (reserved != nullptr && reserved->AcceptsRequests()) {
+    SendTo(reserved, aAttempts, aServiceIndex, aNow);
+    return true;
+  }
+  return TrySend(aAttempts, aServiceIndex, LatestSendAt(aNow), aNow);
 }
 
 bool RequestHandler::CompleteAttempt(ServiceAttempts& aAttempts,
@@ -337,7 +373,8 @@
   aAttempts.outstanding_.clear();
   aAttempts.hedgeAt_ = TimePoint::max();
   aAttempts.preconnectAt_ = TimePoint::max();
-  aAttempts.returnAt_ = TimePoint::max();
+  aAttempts.sendAt_ = TimePoint::max();
+  aAttempts.reservedPool_ = nullptr;
 }
 
 void RequestHandler::OnCallerDisconnected(TimePoint aNow)
@@ -387,6 +424,25 @@
     AnswerSource::Unknown, aIsTimedOut ? kTimeout : kBadGateway, aReason);
 }
 
+ForwardAnswer RequestHandler::RefusalAnswer(
+  std::string_view aReason,
+  std::optional<TimePoint> aEarliestSendAt,
+  TimePoint aNow) const
+{
+  constexpr unsigned kUnavailable = 503;
+  const ForwardSettings& settings = context_.settings_;
+  const auto wait =
+    std::chrono::ceil<milliseconds>(aEarliestSendAt.value_or(aNow) - aNow);
+  return MakeLocalAnswer(
+    AnswerSource::NotRun,
+    kUnavailable,
+    aReason,
+    std::clamp(
+      wait,
+      settings.retryAfter_,
+      std::max(settings.retryAfter_, settings.maxRateLimitRetryAfter_)));
+}
+
 void RequestHandler::Finish(ForwardAnswer aAnswer, TimePoint aNow)
 {
   if (isDone_) {
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -123,9 +123,17 @@
     /// When a connection is opened in advance for the hedge.
     TimePoint preconnectAt_ = TimePoint::max();
     ExchangeFault lastFault_ = ExchangeFault::None;
-    /// When the request returns to servers that all refused a connection.
-    TimePoint returnAt_ = TimePoint::max();
+    /// When the next attempt is sent: at the end of the wait for reservedPool_,
+    /// or when the request returns to servers that all refused a connection.
+    TimePoint sendAt_ = TimePoint::max();
+    /// Server whose rate limit allows the next attempt at sendAt_, or null.
+    std::shared_ptr<ServerConnectionPool> reservedPool_;
     uint32_t returns_ = 0;
+
+    bool IsReturning() const
+    {
+      return sendAt_ != TimePoint::max() && reservedPool_ == nullptr;
+    }
   };
 
   virtual void HandleTimer(TimePoint aNow) = 0;
@@ -134,16 +142,23 @@
   virtual std::span<ServiceAttempts> AllAttempts() = 0;
 
   /// @return the server for the next attempt, or nothing when no untried server
-  /// accepts requests.
+  /// accepts requests by @p aLatestSendAt.
   std::optional<PoolChoice> ChooseServer(const ServiceAttempts& aAttempts,
+                                         TimePoint aLatestSendAt,
                                          TimePoint aNow);
-  /// Sends one attempt to the server with the lowest predicted latency.
+  /// Sends one attempt to the server with the lowest predicted latency, or
+  /// schedules it when that server's rate limit allows it later.
   ///
   /// @param aServiceIndex index that identifies the service in the exchange.
-  /// @return false when no untried server accepts requests.
+  /// @param aLatestSendAt latest time at which the attempt may be sent.
+  /// @return false when no untried server accepts requests by that time.
   bool TrySend(ServiceAttempts& aAttempts,
                uint32_t aServiceIndex,
+               TimePoint aLatestSendAt,
                TimePoint aNow);
+  /// @return the latest time at which an attempt can be sent and its reply
+  /// usually arrives within the route's objective; at least @p aNow.
+  TimePoint LatestSendAt(TimePoint aNow) const;
   /// Opens a connection in advance for a likely hedge once preconnectAt_ is
   /// reached, so that the hedge does not wait for a connect.
   void PreconnectIfDue(ServiceAttempts& aAttempts, TimePoint aNow);
@@ -171,12 +186,13 @@
   ///
   /// @return whether a return is scheduled.
   bool TryReturnLater(ServiceAttempts& aAttempts, TimePoint aNow);
-  /// Sends the attempt that TryReturnLater() scheduled, once it is due.
+  /// Sends the attempt that TrySend() or TryReturnLater() scheduled, once it is
+  /// due.
   ///
   /// @return false when it is due and no server accepts requests.
-  bool ReturnIfDue(ServiceAttempts& aAttempts,
-                   uint32_t aServiceIndex,
-                   TimePoint aNow);
+  bool SendIfDue(ServiceAttempts& aAttempts,
+                 uint32_t aServiceIndex,
+                 TimePoint aNow);
   /// Removes a finished exchange from the outstanding attempts and records its
   /// outcome and latency.
   ///
@@ -194,6 +210,12 @@
   /// @return the answer to a failed request: 503 when it was certainly not run,
   /// else 504 or 502.
   ForwardAnswer FailureAnswer(std::string_view aReason, bool aIsTimedOut);
+  /// @param aEarliestSendAt when the rate limits of the servers allow the
+  /// request, if they are the cause.
+  /// @return the answer to a request for which nothing was sent.
+  ForwardAnswer RefusalAnswer(std::string_view aReason,
+                              std::optional<TimePoint> aEarliestSendAt,
+                              TimePoint aNow) const;
 
   const ForwardRequest& Request() const { return *request_; }
   /// @param aAnswerBytes estimated size of the answer.
@@ -213,6 +235,10 @@
   uint32_t retries_ = 0;
 
 private:
+  void SendTo(const std::shared_ptr<ServerConnectionPool>& aPool,
+              ServiceAttempts& aAttempts,
+              uint32_t aServiceIndex,
+              TimePoint aNow);
   /// @param aTimeLeft time that was left until the answer would have been too
   /// late for the objective; negative when it is late.
   void LogCompletion(const ForwardAnswer& aAnswer,
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
 constexpr milliseconds kMaxUnreachableBackoff{ 2000 };
 /// Interval of the log lines about one server that states a rate limit.
-constexpr seconds kRateLimitLogInterval{ 5 };
+constexpr seconds kRateLimitLogInterval{ 10 };
 
 /// @return the round trip that is assumed until the first connect is timed.
 Duration InitialRoundTrip(ZoneDistance aDistance)
@@ -66,6 +66,9 @@
   , sentToRateLimited_(
       aMetrics.Counter("foxtail_forward_sent_to_rate_limited_total",
                        "Requests written to such servers"))
+  , permitWaits_(
+      aMetrics.Counter("foxtail_forward_rate_limit_waits_total",
+                       "Requests that waited for a server's rate limit"))
 {
   for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     sent_[static_cast<size_t>(row.value_)] =
@@ -129,6 +132,14 @@
   DispatchWaiting(aNow);
 }
 
+void ServerConnectionPool::TakePermit(TimePoint aNow)
+{
+  if (rateShare_.NextPermitAt(aNow) > aNow) {
+    shared_.metrics_.permitWaits_.Increment();
+  }
+  rateShare_.TakePermit(aNow);
+}
+
 void ServerConnectionPool::Preconnect(TimePoint aNow)
 {
   if (NeedsConnect() && connections_.size() < maxConnections_ && !isRetired_) {
@@ -212,6 +223,7 @@
   }
   state.failureRate_ =
     Decayed(failureRate_, 0, aNow - failureRateAt_, kFailureHalfLife);
+  state.permitWait_ = rateShare_.NextPermitAt(aNow) - aNow;
   state.isWarmingUp_ = aNow < warmupUntil_;
   state.isOtherRegion_ = distance_ == ZoneDistance::Far;
   state.isRecentlyUnreachable_ = aNow < unreachableUntil_;
@@ -462,6 +474,11 @@
 {
   const bool isBeginOrEnd = rateLimit_.has_value() != aPerSecond.has_value();
   rateLimit_ = aPerSecond;
+  if (rateLimit_) {
+    rateShare_.SetLimit(*rateLimit_, shared_.random_.NextDouble(), aNow);
+  } else {
+    rateShare_.Clear();
+  }
   if (isBeginOrEnd) {
     shared_.metrics_.rateLimitedServers_.Increment(rateLimit_ ? 1 : -1);
   }
@@ -479,7 +496,8 @@
     .Add("state", rateLimit_ ? "limited" : "ended")
     .Add("sent", sentSinceRateLimitLog_);
   if (rateLimit_) {
-    line.Add("limit_per_s", *rateLimit_);
+    line.Add("limit_per_s", *rateLimit_)
+      .Add("share_per_s", rateShare_.SharePerSecond());
   }
   if (rateLimitLoggedAt_ != TimePoint{}) {
     line.Add("since_last_line_ms", ToMilliseconds(aNow - rateLimitLoggedAt_));
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -3,11 +3,14 @@
 
 #include "forward/ServerConnection.h"
 #include "policy/LatencyPredictor.h"
+#include "policy/RateLimitShare.h"
 #include "policy/ServerDirectory.h"
 #include "policy/SlowServerReporter.h"
 #include "policy/SlownessEstimator.h"
 #include "policy/ZoneMap.h"
 
+#include "core/RandomSource.h"
+
 #include <deque>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -29,6 +32,8 @@
   std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
   prometheus::Gauge& rateLimitedServers_;
   prometheus::Counter& sentToRateLimited_;
+  /// Requests that waited for a permit.
+  prometheus::Counter& permitWaits_;
 };
 
 /// State that all pools of an instance share.
@@ -37,6 +42,7 @@
   ServerConnectionPoolMetrics metrics_;
   ReplyMemory replyMemory_;
   SlowServerReporter slowServers_;
+  RandomSource random_;
 };
 
 /// This instance's connections to one backend server, and the statistics that
@@ -68,6 +74,23 @@
     maxConnections_ = aMaxConnections;
   }
 
+  /// @param aInstances instances that share the server's rate limit, at least
+  /// 1.
+  void SetInstances(uint32_t aInstances, TimePoint aNow)
+  {
+    rateShare_.SetInstances(aInstances, aNow);
+  }
+
+  /// @return the earliest time at which a request may be sent under the
+  /// server's rate limit.
+  TimePoint NextPermitAt(TimePoint aNow) const
+  {
+    return rateShare_.NextPermitAt(aNow);
+  }
+  /// Counts a request towards the server's rate limit. Called once before each
+  /// Send(), at NextPermitAt() or earlier to reserve it.
+  void TakePermit(TimePoint aNow);
+
   /// Opens a connection for an expected request, unless an idle one or a
   /// pending connect would serve it.
   void Preconnect(TimePoint aNow);
@@ -165,6 +188,7 @@
   milliseconds unreachableBackoff_{ 0 };
   std::optional<ReportedServerLoad> load_;
   TimePoint loadReceivedAt_{};
+  RateLimitShare rateShare_;
   /// Requests per second that the server accepts from all instances together.
   std::optional<double> rateLimit_;
   /// When a reply last stated a limit.
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -40,12 +40,21 @@
 
 void SingleRequestHandler::Start(TimePoint aNow)
 {
-  if (!TrySend(attempts_, 0, aNow)) {
-    Finish(FailureAnswer(
-             "no backend server of the service " + attempts_.service_.Value() +
-               " accepts requests; try again, and check its announcements",
-             false),
-           aNow);
+  if (!TrySend(attempts_, 0, LatestSendAt(aNow), aNow)) {
+    const auto earliest =
+      context_.pools_.EarliestSendAt(attempts_.service_, aNow);
+    Finish(
+      RefusalAnswer(
+        earliest
+          ? "the backend servers of the service " + attempts_.service_.Value() +
+              " limit the rate of requests; come back after the "
+              "time that is stated"
+          : "no backend server of the service " + attempts_.service_.Value() +
+              " accepts requests; try again, and check its "
+              "announcements",
+        earliest,
+        aNow),
+      aNow);
     return;
   }
   ScheduleTimer(aNow);
@@ -102,7 +111,7 @@
   }
   PreconnectIfDue(attempts_, aNow);
   HedgeIfDue(attempts_, 0, true, aNow);
-  if (!ReturnIfDue(attempts_, 0, aNow)) {
+  if (!SendIfDue(attempts_, 0, aNow)) {
     Finish(FailureAnswer("no backend server of the service " +
                            attempts_.service_.Value() + " accepts requests",
                          false),
@@ -115,7 +124,7 @@
   return std::min({ responseDeadline_,
                     attempts_.preconnectAt_,
                     attempts_.hedgeAt_,
-                    attempts_.returnAt_ });
+                    attempts_.sendAt_ });
 }
 
 ForwardAnswer SingleRequestHandler::ForwardServerReply(
--- a/src/policy/LatencyPredictor.cpp
+++ b/src/policy/LatencyPredictor.cpp
@@ -29,7 +29,7 @@
   const double utilizationDelay = 0.25 * std::min(1.0, ahead / slots);
   const Duration expected =
     aReplica.roundTrip_ + Scaled(work, 1 + queueRounds + utilizationDelay);
-  Duration predicted = expected;
+  Duration predicted = expected + aReplica.permitWait_;
   if (aReplica.needsConnect_) {
     predicted += aReplica.roundTrip_ + aSettings.connectCost_;
   }
--- a/src/policy/LatencyPredictor.h
+++ b/src/policy/LatencyPredictor.h
@@ -59,6 +59,8 @@
   bool isOtherRegion_ = false;
   /// Whether no idle connection to the server exists and one has to be opened.
   bool needsConnect_ = false;
+  /// Time until the request may be sent, by the server's rate limit.
+  Duration permitWait_{};
   /// Whether a recent connection attempt failed; such a server is used only if
   /// no other is left.
   bool isRecentlyUnreachable_ = false;
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -25,7 +25,7 @@
     , callers_({}, gateway_, pool_.Context(0), metrics_)
   {
     gateway_.Start(Now());
-    gateway_.SetInstances(1);
+    gateway_.SetInstances(1, Now());
     callers_.Start().IgnoreError();
     pool_.Start();
   }
--- a/tests/forward/GatherRequestHandlerTest.cpp
+++ b/tests/forward/GatherRequestHandlerTest.cpp
@@ -261,3 +261,32 @@
   CHECK(HeaderOf(response, kHeaders.missingShards_) == "1");
   CHECK(Now() - start < milliseconds(400));
 }
+
+// Guards against requests that wait for a rate limit until their deadline, and
+// against queries that spend other shards' rates and cannot succeed.
+TEST_CASE("a request that rate limits do not allow in time is refused at once")
+{
+  ScriptedServer limited([](const std::string&, size_t) {
+    std::string reply = SignedReply(RecordOf('a'), "sig-a");
+    return ScriptedReply{ reply.insert(reply.find("\r\n") + 2,
+                                       kHeaders.rateLimit_ + ": 1\r\n") };
+  });
+  ScriptedServer other(PartScript(RecordOf('b'), "sig-b"));
+  ForwardFixture fixture;
+  fixture.RunOnGatewayThread(
+    [&] { fixture.GetGateway().SetInstances(1000, Now()); });
+  fixture.SetRoutes(GatherRoute({ "a", "b" }, 1));
+  fixture.Announce("i-a", "a", limited.Address());
+  fixture.Announce("i-b", "b", other.Address());
+  REQUIRE(fixture.Get("/all/1").result_int() == 200);
+  for (const char* path : { "/all/1", "/a/1" }) {
+    CAPTURE(path);
+    const TimePoint begin = Now();
+    const HttpResponse response = fixture.Get(path);
+    CHECK(response.result_int() == 503);
+    CHECK(HeaderOf(response, "Retry-After") == "0.500");
+    CHECK(Now() - begin < milliseconds(200));
+  }
+  CHECK(limited.Requests().size() == 1);
+  CHECK(other.Requests().size() == 1);
+}
--- a/tests/forward/SingleRequestHandlerTest.cpp
+++ b/tests/forward/SingleRequestHandlerTest.cpp
@@ -354,7 +354,7 @@
   });
   ForwardFixture fixture;
   fixture.RunOnGatewayThread(
-    [&] { fixture.GetGateway().SetInstances(kInstances); });
+    [&] { fixture.GetGateway().SetInstances(kInstances, Now()); });
   fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::Idempotent));
   fixture.Announce("i-1", "proofs", limited.Address());
   fixture.Announce("i-2", "proofs", unlimited.Address());
