forward: log crashes of backend servers and the requests they were running

Decisions are unchanged, but for one connection that is opened to a server which has left a request unanswered and has no other connection: only that shows whether it crashed.

Change: fingerprints of requests (method, host, target, credentials, body); CrashDetector confirms a crash by a refused connection; server_crashed lines and a counter.

--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "forward/HopByHop.h"
+#include "forward/RequestFingerprint.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -174,6 +175,8 @@
                                                headerNames.expectedServer_ };
   AppendEndToEndHeaders(request.headers_, message.base(), ownHeaders);
   request.body_ = std::move(message.body());
+  request.credentials_ = ToView(message[http::field::authorization]);
+  request.fingerprint_ = FingerprintOf(request);
   request.startedAt_ = aNow;
   const Duration roundTrip = RoundTrip();
   request.returnDelay_ = roundTrip / 2;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -4,6 +4,7 @@
 #include "core/EnumTable.h"
 #include "core/Ids.h"
 #include "core/Time.h"
+#include "policy/CrashDetector.h"
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -24,6 +25,9 @@
   /// that this system sets itself.
   std::string headers_;
   std::string body_;
+  /// Credentials of the caller, also among headers_; empty if there are none.
+  std::string credentials_;
+  RequestFingerprint fingerprint_;
   bool hasBody_ = false;
   bool isHead_ = false;
   TimePoint startedAt_{};
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -475,6 +475,7 @@
   }
   LogLine line(isLocal ? LogLevel::Warning : LogLevel::Info, "request_ended");
   line.Add("request", request_->id_)
+    .Add("fingerprint", ToHex(request_->fingerprint_))
     .Add("route", route_.name_)
     .Add("document", table_->Version())
     .Add("source", NameOf(aAnswer.source_))
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -66,6 +66,8 @@
   , sentToRateLimited_(
       aMetrics.Counter("foxtail_forward_sent_to_rate_limited_total",
                        "Requests written to such servers"))
+  , crashes_(aMetrics.Counter("foxtail_forward_server_crashes_total",
+                              "Backend servers that crashed under requests"))
   , permitWaits_(
       aMetrics.Counter("foxtail_forward_rate_limit_waits_total",
                        "Requests that waited for a server's rate limit"))
@@ -178,6 +180,7 @@
 
 void ServerConnectionPool::CheckTimeouts(TimePoint aNow)
 {
+  CheckForCrash(aNow);
   const auto connections = connections_;
   for (const auto& connection : connections) {
     const Duration age = aNow - connection->StateSince();
@@ -315,6 +318,7 @@
   const auto grownRoundTrip = duration_cast<Duration>(
     std::chrono::duration<double>(roundTrip_) * kRoundTripGrowth);
   roundTrip_ = std::min(aConnection.ConnectTime(), grownRoundTrip);
+  crashDetector_.OnAlive();
   if (isRetired_) {
     aConnection.CloseWithoutNotice();
     RemoveConnection(aConnection);
@@ -371,6 +375,9 @@
   }
   --connecting_;
   RecordConnectFailure(aNow);
+  if (aFault == ExchangeFault::ConnectFailed) {
+    RecordCrash(aNow);
+  }
   // Only an exchange that none of the remaining connections will serve fails.
   if (connections_.size() < waiting_.size() || connections_.empty()) {
     FailOneWaiting(aFault, aNow);
@@ -383,6 +390,15 @@
   if (aExchange.fault_ == ExchangeFault::Abandoned) {
     return;
   }
+  const bool isUnanswered =
+    aExchange.outcome_ == ExchangeOutcome::Failed &&
+    (aExchange.fault_ == ExchangeFault::Closed ||
+     aExchange.fault_ == ExchangeFault::ResetOnConnect ||
+     aExchange.fault_ == ExchangeFault::Truncated);
+  if (isUnanswered) {
+    crashDetector_.OnUnanswered(
+      { aExchange.request_->fingerprint_, aExchange.sentAt_ }, aNow);
+  }
   if (aExchange.fault_ == ExchangeFault::ResetOnConnect) {
     RecordConnectFailure(aNow);
     return;
@@ -439,6 +455,41 @@
   unreachableUntil_ = aNow + unreachableBackoff_;
 }
 
+void ServerConnectionPool::CheckForCrash(TimePoint aNow)
+{
+  if (!crashDetector_.IsUndecided(aNow) || isRetired_ || connecting_ > 0) {
+    return;
+  }
+  if (!idleConnections_.empty()) {
+    // A crash ends the idle connections too, and their ends have arrived by
+    // now.
+    crashDetector_.OnAlive();
+  } else if (connections_.size() < maxConnections_) {
+    OpenConnection(aNow);
+  }
+}
+
+void ServerConnectionPool::RecordCrash(TimePoint aNow)
+{
+  const auto requests = crashDetector_.OnConnectRefused(aNow);
+  if (requests.empty()) {
+    return;
+  }
+  shared_.metrics_.crashes_.Increment();
+  // Enough to find a request that is in the lines of several crashes.
+  constexpr size_t kMaxLoggedRequests = 8;
+  std::string fingerprints;
+  for (size_t i = 0; i < std::min(requests.size(), kMaxLoggedRequests); ++i) {
+    fingerprints += (i == 0 ? "" : ",") + ToHex(requests[i].request_);
+  }
+  LogLine(LogLevel::Warning, "server_crashed")
+    .Add("server", announcement_.id_)
+    .Add("service", announcement_.service_)
+    .Add("started_at_ms", announcement_.startedAtMs_)
+    .Add("requests", requests.size())
+    .Add("fingerprints", fingerprints);
+}
+
 void ServerConnectionPool::RecordRateLimit(const StatedRateLimit& aLimit,
                                            const Exchange& aExchange,
                                            TimePoint aNow)
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -2,6 +2,7 @@
 #define FORWARD_SERVERCONNECTIONPOOL_H
 
 #include "forward/ServerConnection.h"
+#include "policy/CrashDetector.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/RateLimitShare.h"
 #include "policy/ServerDirectory.h"
@@ -32,6 +33,7 @@
   std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
   prometheus::Gauge& rateLimitedServers_;
   prometheus::Counter& sentToRateLimited_;
+  prometheus::Counter& crashes_;
   /// Requests that waited for a permit.
   prometheus::Counter& permitWaits_;
 };
@@ -151,6 +153,9 @@
   void RecordOutcome(const Exchange& aExchange, TimePoint aNow);
   void RecordLatency(const Exchange& aExchange, TimePoint aNow);
   void RecordConnectFailure(TimePoint aNow);
+  /// Opens a connection when only that shows whether the server crashed.
+  void CheckForCrash(TimePoint aNow);
+  void RecordCrash(TimePoint aNow);
   /// Applies the rate limit that a reply to @p aExchange states, or its end.
   void RecordRateLimit(const StatedRateLimit& aLimit,
                        const Exchange& aExchange,
@@ -181,6 +186,7 @@
 
   Duration roundTrip_;
   SlownessEstimator slowness_;
+  CrashDetector crashDetector_;
   double failureRate_ = 0;
   TimePoint failureRateAt_{};
   TimePoint warmupUntil_{};
