--- /dev/null
+++ b/tests/forward/CrashingRequestTest.cpp
@@ -0,0 +1,120 @@
+#include "ForwardFixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace foxtail;
+
+namespace {
+
+const HeaderNames kHeaders;
+constexpr const char* kDeadly = "deadly";
+
+/// @return the script of a server that crashes under each deadly request.
+ScriptedServer::Script CrashUnderDeadly()
+{
+  return [](const std::string& aRequest, size_t) {
+    if (aRequest.find(kDeadly) != std::string::npos) {
+      ScriptedReply crash;
+      crash.delay_ = milliseconds(10);
+      crash.crashes_ = true;
+      return crash;
+    }
+    return ScriptedReply{ SignedReply("0123456789abcdef") };
+  };
+}
+
+/// Services with several backend servers each, behind a gateway that has a
+/// route for each service and one over all of them, /all/.
+class CrashFixture
+{
+public:
+  CrashFixture(size_t aServices, size_t aServers)
+  {
+    std::vector<std::string> names;
+    for (size_t i = 0; i < aServices; ++i) {
+      names.push_back("s" + std::to_string(i));
+    }
+    RouteDocument document = SingleRoutes(names, RouteEffect::Idempotent);
+    Route all = document.routes_[0];
+    all.name_ = "all";
+    all.pathPrefix_ = "/all/";
+    GatherTarget target;
+    for (const std::string& name : names) {
+      target.shards_.emplace_back(name);
+    }
+    target.topRecords_ = 3;
+    all.target_ = target;
+    document.routes_.push_back(all);
+    gateway_.SetRoutes(std::move(document));
+    for (const std::string& name : names) {
+      for (size_t k = 0; k < aServers; ++k) {
+        servers_.push_back(
+          std::make_unique<ScriptedServer>(CrashUnderDeadly()));
+        const std::string id = name + "-" + std::to_string(k);
+        gateway_.Announce(id.c_str(), name.c_str(), servers_.back()->Address());
+      }
+    }
+  }
+
+  unsigned Get(const std::string& aTarget)
+  {
+    const unsigned status = gateway_.Get(aTarget).result_int();
+    // Crashes are confirmed by refused connections shortly after.
+    std::this_thread::sleep_for(milliseconds(250));
+    return status;
+  }
+
+  /// @return the number of servers that received a deadly request.
+  long Crashed() const
+  {
+    return std::count_if(
+      servers_.begin(), servers_.end(), [](const auto& aServer) {
+        const auto requests = aServer->Requests();
+        return std::any_of(
+          requests.begin(), requests.end(), [](const std::string& aRequest) {
+            return aRequest.find(kDeadly) != std::string::npos;
+          });
+      });
+  }
+
+private:
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+  ForwardFixture gateway_;
+};
+
+} // namespace
+
+// Guards against one request that crashes server after server: it is sent again
+// each time that it comes.
+TEST_CASE("a request that has crashed three servers is not sent again")
+{
+  SUBCASE("to one service")
+  {
+    CrashFixture fixture(1, 8);
+    for (int i = 0; i < 2; ++i) {
+      CHECK(fixture.Get("/s0/deadly") == 502);
+    }
+    const long crashed = fixture.Crashed();
+    CHECK(crashed == 4);
+    for (int i = 0; i < 3; ++i) {
+      CHECK(fixture.Get("/s0/deadly") == 503);
+    }
+    CHECK(fixture.Crashed() == crashed);
+    CHECK(fixture.Get("/s0/healthy") == 200);
+  }
+  SUBCASE("to all shards")
+  {
+    constexpr long kShards = 5;
+    CrashFixture fixture(kShards, 3);
+    CHECK(fixture.Get("/all/deadly") == 502);
+    // Two retries show whether the shards fail because of the request.
+    CHECK(fixture.Crashed() <= kShards + 2);
+    for (int i = 0; i < 3; ++i) {
+      CHECK(fixture.Get("/all/deadly") == 503);
+    }
+    CHECK(fixture.Crashed() <= kShards + 2);
+    CHECK(fixture.Get("/all/healthy") == 200);
+  }
+}
--- a/tests/forward/ScriptedServer.h
+++ b/tests/forward/ScriptedServer.h
@@ -29,6 +29,8 @@
   bool closeAfter_ = false;
   /// Resets the connection after the reply.
   bool resetAfter_ = false;
+  /// Ends the server: it resets the connection and refuses new ones.
+  bool crashes_ = false;
   /// Sends nothing and keeps the connection open.
   bool isSilent_ = false;
   /// Sent again and again after bytes_ until the connection is closed.
@@ -53,6 +55,7 @@
     , acceptor_(pool_.Context(0))
   {
     Listen(acceptor_, "127.0.0.1", aPort).IgnoreError();
+    port_ = acceptor_.local_endpoint().port();
     boost::asio::co_spawn(pool_.Context(0), Accept(), boost::asio::detached);
     pool_.Start();
   }
@@ -60,10 +63,7 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
-  std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
   size_t Connections() const { return connections_; }
   /// @return bytes sent as ScriptedReply::endlessBytes_.
   size_t EndlessBytesSent() const { return endlessBytesSent_; }
@@ -78,9 +78,13 @@
 
   boost::asio::awaitable<void> Accept()
   {
+    boost::system::error_code error;
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
     while (true) {
-      Socket socket =
-        co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      Socket socket = co_await acceptor_.async_accept(token);
+      if (error) {
+        co_return;
+      }
       ++connections_;
       boost::asio::co_spawn(
         pool_.Context(0), Serve(std::move(socket)), boost::asio::detached);
@@ -137,10 +141,13 @@
         endlessBytesSent_ += co_await boost::asio::async_write(
           aSocket, boost::asio::buffer(reply.endlessBytes_), token);
       }
-      if (reply.resetAfter_) {
+      if (reply.crashes_) {
+        acceptor_.close(error);
+      }
+      if (reply.resetAfter_ || reply.crashes_) {
         aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
       }
-      if (reply.closeAfter_ || reply.resetAfter_) {
+      if (reply.closeAfter_ || reply.resetAfter_ || reply.crashes_) {
         aSocket.close(error);
         co_return;
       }
@@ -158,6 +165,7 @@
   std::vector<std::string> requests_;
   std::atomic<size_t> connections_{ 0 };
   std::atomic<size_t> endlessBytesSent_{ 0 };
+  uint16_t port_ = 0;
   WorkerPool pool_;
   boost::asio::ip::tcp::acceptor acceptor_;
 };
