--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -59,6 +59,14 @@
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
   void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
+  void OnFeedQuarantines(const std::vector<RequestQuarantine>&,
+                         TimePoint) override
+  {
+  }
+  std::vector<RequestQuarantine> QuarantinesInForce(TimePoint) override
+  {
+    return {};
+  }
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
   /// Polls other control instances for the servers that announced themselves
   /// there. Thread safe.
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -65,6 +65,8 @@
   gateway_.OnSlowServer([this](const SlowServerReport& aReport) {
     feed_.ReportSlowServer(aReport);
   });
+  gateway_.Crashes().OnNews(
+    [this](const CrashNews& aNews) { feed_.ReportCrashNews(aNews); });
   gateway_.Start(Now());
   feed_.Start(Now());
   ScheduleReadinessCheck();
@@ -124,6 +126,18 @@
   gateway_.OnSharedSlowServers(aServers);
 }
 
+void EdgeInstance::OnFeedQuarantines(
+  const std::vector<RequestQuarantine>& aQuarantines,
+  TimePoint aNow)
+{
+  gateway_.Crashes().OnQuarantines(aQuarantines, aNow);
+}
+
+std::vector<RequestQuarantine> EdgeInstance::QuarantinesInForce(TimePoint aNow)
+{
+  return gateway_.Crashes().Quarantines(aNow);
+}
+
 void EdgeInstance::OnFeedEntryCount(uint32_t aEntryCount,
                                     bool aIsComplete,
                                     TimePoint aNow)
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -75,6 +75,9 @@
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
   void OnFeedSlowServers(const std::vector<SlowServer>& aServers) override;
+  void OnFeedQuarantines(const std::vector<RequestQuarantine>& aQuarantines,
+                         TimePoint aNow) override;
+  std::vector<RequestQuarantine> QuarantinesInForce(TimePoint aNow) override;
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint aNow) override;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -151,6 +151,7 @@
   request.knownControlsRevision_ = aSource.controlsRevision_;
   request.isControl_ = settings_.isControl_;
   request.knownSlowRevision_ = aSource.slowRevision_;
+  request.knownQuarantineRevision_ = aSource.quarantineRevision_;
   request.wantsText_ = WantsText(aSource, aNow);
   request.wantsServers_ = WantsServers(aSource, aNow);
   request.wantsRenewals_ = request.wantsServers_ && !settings_.isControl_ &&
@@ -242,6 +243,10 @@
   if (aSource.id_ != aReply.source_) {
     aSource.cursor_ = 0;
     aSource.wasSynchronized_ = false;
+    for (const RequestQuarantine& quarantine :
+         listener_.QuarantinesInForce(aNow)) {
+      ReportCrashNews(quarantine);
+    }
   }
   aSource.isLost_ = false;
   aSource.hasReplied_ = true;
@@ -260,6 +265,8 @@
     ApplyDocument(aReply, aNow);
     aSource.slowRevision_ = aReply.slowRevision_;
     ApplySlowServers(aReply, aNow);
+    aSource.quarantineRevision_ = aReply.quarantineRevision_;
+    ApplyQuarantines(aReply, aNow);
   }
   for (const std::string& control : aReply.controls_) {
     if (control != settings_.ownEndpoint_) {
@@ -340,30 +347,119 @@
     std::find_if(sources_.begin(), sources_.end(), [&](const auto& aRow) {
       return &aRow.second == nearest;
     });
-  const auto endpoint =
-    found == sources_.end() ? std::nullopt : ToEndpoint(found->first);
+  if (found == sources_.end()) {
+    co_return;
+  }
+  MakeReport(request, *nearest);
+  auto sending =
+    SendReport(found->first, std::move(request), "slow_servers_not_reported");
+  co_await std::move(sending);
+}
+
+void FeedClient::MakeReport(FeedRequest& aRequest, const Source& aSource)
+{
+  aRequest.source_ = aSource.id_;
+  aRequest.knownVersion_ = aSource.version_;
+  aRequest.knownControlsRevision_ = aSource.controlsRevision_;
+  aRequest.knownQuarantineRevision_ = aSource.quarantineRevision_;
+  aRequest.wantsText_ = false;
+  aRequest.wantsRenewals_ = false;
+  aRequest.wantsServers_ = false;
+}
+
+asio::awaitable<void> FeedClient::SendReport(std::string aEndpoint,
+                                             FeedRequest aReport,
+                                             const char* aWhat)
+{
+  const auto endpoint = ToEndpoint(aEndpoint);
   if (!endpoint) {
     co_return;
   }
-  // Asks for nothing, so that the source replies at once.
-  request.source_ = nearest->id_;
-  request.knownVersion_ = nearest->version_;
-  request.knownControlsRevision_ = nearest->controlsRevision_;
-  request.wantsText_ = false;
-  request.wantsRenewals_ = false;
-  request.wantsServers_ = false;
-  Frame frame{ FrameKind::Feed, 0, EncodeFeedRequest(request) };
+  Frame frame{ FrameKind::Feed, 0, EncodeFeedRequest(aReport) };
   // g++ 12 destroys temporaries within an awaited expression twice.
   auto call =
     frames_.Call(*endpoint, std::move(frame), settings_.replyTimeout_);
   const auto reply = co_await std::move(call);
   if (!reply.ok()) {
-    LogLine(LogLevel::Info, "slow_servers_not_reported")
-      .Add("servers", request.slowServers_.size())
+    LogLine(LogLevel::Info, aWhat)
+      .Add("servers", aReport.slowServers_.size())
+      .Add("crashes", aReport.crashes_.size())
+      .Add("endpoint", aEndpoint)
       .Add("error", reply.status());
   }
 }
 
+void FeedClient::ReportCrashNews(const CrashNews& aNews)
+{
+  const bool isFirst = crashNews_.empty();
+  if (crashNews_.size() < settings_.maxCrashNews_) {
+    crashNews_.push_back(aNews);
+  }
+  if (isFirst) {
+    asio::co_spawn(context_, SendCrashNews(), asio::detached);
+  }
+}
+
+asio::awaitable<void> FeedClient::SendCrashNews()
+{
+  struct Collector
+  {
+    FeedRequest& request_;
+    TimePoint now_;
+
+    void operator()(const RequestCrash& aCrash) const
+    {
+      request_.crashes_.push_back(
+        { aCrash.request_,
+          aCrash.server_,
+          aCrash.serverStartedAtMs_,
+          duration_cast<milliseconds>(now_ - aCrash.sentAt_),
+          duration_cast<milliseconds>(now_ - aCrash.endedAt_) });
+    }
+    void operator()(const RequestAnswered& aAnswered) const
+    {
+      request_.answered_.push_back(aAnswered.request_);
+    }
+    void operator()(const RequestQuarantine& aQuarantine) const
+    {
+      request_.quarantines_.push_back(
+        { aQuarantine.request_,
+          duration_cast<milliseconds>(aQuarantine.until_ - now_) });
+    }
+  };
+  asio::steady_timer timer(context_, settings_.crashNewsDelay_);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  FeedRequest request;
+  for (const CrashNews& news : std::exchange(crashNews_, {})) {
+    std::visit(Collector{ request, Now() }, news);
+  }
+  // Each source needs all crashes, as those of one request may be seen in
+  // several zones.
+  for (const auto& [endpoint, source] : sources_) {
+    if (source.hasReplied_) {
+      MakeReport(request, source);
+      asio::co_spawn(context_,
+                     SendReport(endpoint, request, "crashes_not_reported"),
+                     asio::detached);
+    }
+  }
+}
+
+void FeedClient::ApplyQuarantines(const FeedReply& aReply, TimePoint aNow)
+{
+  if (aReply.quarantines_.empty()) {
+    return;
+  }
+  std::vector<RequestQuarantine> quarantines;
+  quarantines.reserve(aReply.quarantines_.size());
+  for (const FeedQuarantine& quarantine : aReply.quarantines_) {
+    quarantines.push_back(
+      { quarantine.request_, aNow + quarantine.remaining_ });
+  }
+  listener_.OnFeedQuarantines(quarantines, aNow);
+}
+
 void FeedClient::ApplyDocument(const FeedReply& aReply, TimePoint aNow)
 {
   if (aReply.version_ > latestKnownVersion_) {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -3,6 +3,7 @@
 
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
+#include "policy/CrashSuspects.h"
 #include "policy/SlowServerBoard.h"
 #include "policy/ZoneMap.h"
 
@@ -64,6 +65,11 @@
   milliseconds reportDelay_{ 100 };
   /// Largest number of servers in one report.
   size_t maxReportedServers_ = 64;
+  /// News of crashes are collected for this long, as a server that crashes ends
+  /// several requests.
+  milliseconds crashNewsDelay_{ 20 };
+  /// Largest number of such news in one report; later ones are dropped.
+  size_t maxCrashNews_ = 256;
   /// Largest document, in bytes.
   size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
   /// A source that no other source has listed and that has not replied for this
@@ -85,6 +91,12 @@
                              TimePoint aNow) = 0;
   /// Called with servers that several entry instances found slow.
   virtual void OnFeedSlowServers(const std::vector<SlowServer>& aServers) = 0;
+  /// Called with requests that are not to be sent to backend servers.
+  virtual void OnFeedQuarantines(
+    const std::vector<RequestQuarantine>& aQuarantines,
+    TimePoint aNow) = 0;
+  /// @return the quarantines in force, for a source that has restarted.
+  virtual std::vector<RequestQuarantine> QuarantinesInForce(TimePoint aNow) = 0;
   /// @param aEntryCount number of entry instances that poll the same sources.
   /// @param aIsComplete false while there may be more, as all sources started
   /// to count a short time ago.
@@ -117,6 +129,10 @@
   /// found shortly after. Called on worker 0.
   void ReportSlowServer(const SlowServerReport& aReport);
 
+  /// Tells all reachable sources about a request under which servers crash,
+  /// together with other such news that follow shortly. Called on worker 0.
+  void ReportCrashNews(const CrashNews& aNews);
+
   /// @return whether the newest document that any reachable source has is
   /// received, or the wait for it is over.
   bool IsReady(TimePoint aNow) const;
@@ -132,6 +148,7 @@
     uint64_t cursor_ = 0;
     uint64_t controlsRevision_ = 0;
     uint64_t slowRevision_ = 0;
+    uint64_t quarantineRevision_ = 0;
     TimePoint lastReplyAt_{};
     TimePoint lastListedAt_{};
     TimePoint nextRenewalsAt_{};
@@ -183,6 +200,16 @@
                     TimePoint aNow);
   /// Sends the collected reports of slow servers after reportDelay_.
   boost::asio::awaitable<void> SendReports();
+  /// Sends the collected news of crashes after crashNewsDelay_.
+  boost::asio::awaitable<void> SendCrashNews();
+  /// Turns a request into a report: it asks a source for nothing, so that it is
+  /// replied to at once.
+  static void MakeReport(FeedRequest& aRequest, const Source& aSource);
+  /// @param aWhat event that is logged when the report does not arrive.
+  boost::asio::awaitable<void> SendReport(std::string aEndpoint,
+                                          FeedRequest aReport,
+                                          const char* aWhat);
+  void ApplyQuarantines(const FeedReply& aReply, TimePoint aNow);
   void ApplySlowServers(const FeedReply& aReply, TimePoint aNow);
   void ApplyDocument(const FeedReply& aReply, TimePoint aNow);
   void NotifyEntryCount(TimePoint aNow);
@@ -211,6 +238,8 @@
   std::map<std::string, Source> sources_;
   /// Reports that have not been sent yet, the latest of each server.
   std::map<BackendId, SlowServerReport> reports_;
+  /// News of crashes that have not been sent yet.
+  std::vector<CrashNews> crashNews_;
 };
 
 } // namespace foxtail
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -77,6 +77,85 @@
   return servers;
 }
 
+using QuarantineList =
+  flatbuffers::Vector<flatbuffers::Offset<wire::FeedQuarantine>>;
+
+flatbuffers::Offset<QuarantineList> ToWire(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  const std::vector<FeedQuarantine>& aQuarantines)
+{
+  std::vector<flatbuffers::Offset<wire::FeedQuarantine>> rows;
+  rows.reserve(aQuarantines.size());
+  for (const FeedQuarantine& quarantine : aQuarantines) {
+    rows.push_back(
+      wire::CreateFeedQuarantine(aBuilder,
+                                 quarantine.request_.Value(),
+                                 ToMilliseconds32(quarantine.remaining_)));
+  }
+  return aBuilder.CreateVector(rows);
+}
+
+std::vector<FeedQuarantine> FromWire(const QuarantineList* aList)
+{
+  std::vector<FeedQuarantine> quarantines;
+  if (aList == nullptr) {
+    return quarantines;
+  }
+  for (const wire::FeedQuarantine* row : *aList) {
+    quarantines.push_back({ RequestFingerprint(row->request()),
+                            milliseconds(row->remaining_ms()) });
+  }
+  return quarantines;
+}
+
+using CrashList = flatbuffers::Vector<flatbuffers::Offset<wire::FeedCrash>>;
+
+flatbuffers::Offset<CrashList> ToWire(flatbuffers::FlatBufferBuilder& aBuilder,
+                                      const std::vector<FeedCrash>& aCrashes)
+{
+  std::vector<flatbuffers::Offset<wire::FeedCrash>> rows;
+  rows.reserve(aCrashes.size());
+  for (const FeedCrash& crash : aCrashes) {
+    const auto server = aBuilder.CreateSharedString(crash.server_.Value());
+    rows.push_back(wire::CreateFeedCrash(aBuilder,
+                                         crash.request_.Value(),
+                                         server,
+                                         crash.serverStartedAtMs_,
+                                         ToMilliseconds32(crash.sentAge_),
+                                         ToMilliseconds32(crash.endedAge_)));
+  }
+  return aBuilder.CreateVector(rows);
+}
+
+std::vector<FeedCrash> FromWire(const CrashList* aList)
+{
+  std::vector<FeedCrash> crashes;
+  if (aList == nullptr) {
+    return crashes;
+  }
+  for (const wire::FeedCrash* row : *aList) {
+    crashes.push_back({ RequestFingerprint(row->request()),
+                        BackendId(row->server()->str()),
+                        row->server_started_at_ms(),
+                        milliseconds(row->sent_age_ms()),
+                        milliseconds(row->ended_age_ms()) });
+  }
+  return crashes;
+}
+
+std::vector<RequestFingerprint> FromWire(
+  const flatbuffers::Vector<uint64_t>* aList)
+{
+  std::vector<RequestFingerprint> requests;
+  if (aList == nullptr) {
+    return requests;
+  }
+  for (const uint64_t request : *aList) {
+    requests.emplace_back(request);
+  }
+  return requests;
+}
+
 } // namespace
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest)
@@ -86,6 +165,22 @@
   if (!aRequest.slowServers_.empty()) {
     slowServers = ToWire(builder, aRequest.slowServers_);
   }
+  flatbuffers::Offset<CrashList> crashes;
+  if (!aRequest.crashes_.empty()) {
+    crashes = ToWire(builder, aRequest.crashes_);
+  }
+  flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered;
+  if (!aRequest.answered_.empty()) {
+    std::vector<uint64_t> requests;
+    for (const RequestFingerprint request : aRequest.answered_) {
+      requests.push_back(request.Value());
+    }
+    answered = builder.CreateVector(requests);
+  }
+  flatbuffers::Offset<QuarantineList> quarantines;
+  if (!aRequest.quarantines_.empty()) {
+    quarantines = ToWire(builder, aRequest.quarantines_);
+  }
   builder.Finish(wire::CreateFeedRequest(builder,
                                          aRequest.source_.Value(),
                                          aRequest.cursor_,
@@ -97,7 +192,11 @@
                                          aRequest.wantsServers_,
                                          aRequest.isControl_,
                                          slowServers,
-                                         aRequest.knownSlowRevision_));
+                                         aRequest.knownSlowRevision_,
+                                         crashes,
+                                         answered,
+                                         quarantines,
+                                         aRequest.knownQuarantineRevision_));
   return FinishedBytes(builder);
 }
 
@@ -117,7 +216,11 @@
                       (*root)->wants_servers(),
                       (*root)->is_control(),
                       FromWire((*root)->slow_servers()),
-                      (*root)->known_slow() };
+                      (*root)->known_slow(),
+                      FromWire((*root)->crashes()),
+                      FromWire((*root)->answered()),
+                      FromWire((*root)->quarantines()),
+                      (*root)->known_quarantines() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -158,6 +261,10 @@
   if (!aReply.slowServers_.empty()) {
     slowServers = ToWire(builder, aReply.slowServers_);
   }
+  flatbuffers::Offset<QuarantineList> quarantines;
+  if (!aReply.quarantines_.empty()) {
+    quarantines = ToWire(builder, aReply.quarantines_);
+  }
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
@@ -175,7 +282,9 @@
                                        aReply.digest_,
                                        aReply.revision_,
                                        slowServers,
-                                       aReply.slowRevision_));
+                                       aReply.slowRevision_,
+                                       quarantines,
+                                       aReply.quarantineRevision_));
   return FinishedBytes(builder);
 }
 
@@ -212,6 +321,8 @@
   reply.revision_ = (*root)->revision();
   reply.slowServers_ = FromWire((*root)->slow_servers());
   reply.slowRevision_ = (*root)->slow_revision();
+  reply.quarantines_ = FromWire((*root)->quarantines());
+  reply.quarantineRevision_ = (*root)->quarantine_revision();
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -2,6 +2,7 @@
 #define FEED_FEEDMESSAGES_H
 
 #include "core/Ids.h"
+#include "policy/CrashDetector.h"
 #include "policy/ServerDirectory.h"
 
 #include <absl/status/statusor.h>
@@ -25,6 +26,24 @@
   milliseconds age_{ 0 };
 };
 
+/// A backend server crashed while it had a request of an entry instance.
+struct FeedCrash
+{
+  RequestFingerprint request_;
+  BackendId server_;
+  uint64_t serverStartedAtMs_ = 0;
+  /// Time since the attempt was sent, and since its connection ended.
+  milliseconds sentAge_{ 0 };
+  milliseconds endedAge_{ 0 };
+};
+
+/// A request that is not sent to backend servers for a while.
+struct FeedQuarantine
+{
+  RequestFingerprint request_;
+  milliseconds remaining_{ 0 };
+};
+
 /// Long-poll request for updates.
 struct FeedRequest
 {
@@ -51,6 +70,15 @@
   std::vector<FeedSlowServer> slowServers_{};
   /// Revision of the source's slow servers up to which the client has all.
   uint64_t knownSlowRevision_ = 0;
+  /// Crashes that the client has seen since its last report.
+  std::vector<FeedCrash> crashes_{};
+  /// Requests whose crashes were reported and that a server has replied to
+  /// since.
+  std::vector<RequestFingerprint> answered_{};
+  /// Quarantines that the client knows and a restarted source may not.
+  std::vector<FeedQuarantine> quarantines_{};
+  /// Revision of the source's quarantines up to which the client has all.
+  uint64_t knownQuarantineRevision_ = 0;
 };
 
 /// A backend server and the time since its last announcement.
@@ -95,6 +123,9 @@
   /// Slow servers published since the request's knownSlowRevision_.
   std::vector<FeedSlowServer> slowServers_;
   uint64_t slowRevision_ = 0;
+  /// Quarantines that began since the request's knownQuarantineRevision_.
+  std::vector<FeedQuarantine> quarantines_;
+  uint64_t quarantineRevision_ = 0;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -57,6 +57,9 @@
   , slowReportCounter_(
       aMetrics.Counter("foxtail_feed_slow_reports_total",
                        "Reports of slow backend servers received"))
+  , crashReportCounter_(
+      aMetrics.Counter("foxtail_feed_crash_reports_total",
+                       "Reports of crashed backend servers received"))
 {
   aFrames.OnCall(FrameKind::Feed,
                  [this](const InstanceId& aFrom, Frame aFrame) {
@@ -186,6 +189,7 @@
     if (!request->isControl_) {
       entryInstances_[aFrom] = Now();
       ApplyReports(aFrom, *request, Now());
+      ApplyCrashNews(*request, Now());
     }
     if (!HasUpdates(*request)) {
       timer =
@@ -232,8 +236,43 @@
   }
 }
 
+void FeedSource::ApplyCrashNews(const FeedRequest& aRequest, TimePoint aNow)
+{
+  const uint64_t before = crashSuspects_.Revision();
+  for (const FeedCrash& crash : aRequest.crashes_) {
+    crashReportCounter_.Increment();
+    crashSuspects_.OnCrash({ crash.request_,
+                             crash.server_,
+                             crash.serverStartedAtMs_,
+                             aNow - crash.sentAge_,
+                             aNow - crash.endedAge_ },
+                           aNow);
+  }
+  for (const RequestFingerprint request : aRequest.answered_) {
+    crashSuspects_.OnAnswered(request, aNow);
+  }
+  for (const FeedQuarantine& quarantine : aRequest.quarantines_) {
+    crashSuspects_.OnQuarantine(
+      { quarantine.request_, aNow + quarantine.remaining_ }, aNow);
+  }
+  if (crashSuspects_.Revision() == before) {
+    return;
+  }
+  for (const RequestQuarantine& quarantine :
+       crashSuspects_.QuarantinedSince(before, aNow)) {
+    LogLine(LogLevel::Warning, "request_quarantined")
+      .Add("fingerprint", ToHex(quarantine.request_))
+      .Add("for_ms", ToMilliseconds(quarantine.until_ - aNow));
+  }
+  CompletePolls();
+}
+
 bool FeedSource::HasNonServerUpdates(const FeedRequest& aRequest) const
 {
+  if (!aRequest.isControl_ &&
+      crashSuspects_.Revision() > aRequest.knownQuarantineRevision_) {
+    return true;
+  }
   return aRequest.source_ != id_ ||
          aRequest.knownControlsRevision_ != controlsRevision_ ||
          (aRequest.knownVersion_ < version_ && !aRequest.isControl_);
@@ -298,6 +337,17 @@
     }
     reply.slowRevision_ = slowServers_.Revision();
   }
+  if (!aRequest.isControl_) {
+    const uint64_t known =
+      aRequest.source_ == id_ ? aRequest.knownQuarantineRevision_ : 0;
+    for (const RequestQuarantine& quarantine :
+         crashSuspects_.QuarantinedSince(known, aNow)) {
+      reply.quarantines_.push_back(
+        { quarantine.request_,
+          duration_cast<milliseconds>(quarantine.until_ - aNow) });
+    }
+    reply.quarantineRevision_ = crashSuspects_.Revision();
+  }
   reply.controlsRevision_ = controlsRevision_;
   if (aRequest.source_ != id_ ||
       aRequest.knownControlsRevision_ != controlsRevision_) {
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -3,6 +3,7 @@
 
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
+#include "policy/CrashSuspects.h"
 #include "policy/SlowServerBoard.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -23,7 +24,9 @@
 /// of the kinds that it asks for. Entry instances receive all servers; control
 /// instances receive those that sent their announcements to this one, so that
 /// each announcement reaches each of them once. Entry instances report slow
-/// servers and receive those that several of them agree on. Thread safe.
+/// servers and receive those that several of them agree on. They also report
+/// crashes of servers, and receive the requests that are not to be sent any
+/// more. Thread safe.
 class FeedSource
 {
 public:
@@ -74,6 +77,8 @@
   void ApplyReports(const InstanceId& aFrom,
                     const FeedRequest& aRequest,
                     TimePoint aNow);
+  /// Applies the client's reports of crashes and quarantines.
+  void ApplyCrashNews(const FeedRequest& aRequest, TimePoint aNow);
   bool HasUpdates(const FeedRequest& aRequest) const
   {
     return HasNonServerUpdates(aRequest) || HasServerUpdates(aRequest) ||
@@ -95,6 +100,7 @@
   std::mutex mutex_;
   ServerDirectory directory_;
   SlowServerBoard slowServers_;
+  CrashSuspects crashSuspects_;
   /// Servers whose last change was received from another control instance, and
   /// the revision of the last change that a server announced to this one.
   std::unordered_set<BackendId> updatedByPeers_;
@@ -108,6 +114,7 @@
   std::map<std::shared_ptr<Timer>, FeedRequest> pendingPolls_;
   prometheus::Counter& requestCounter_;
   prometheus::Counter& slowReportCounter_;
+  prometheus::Counter& crashReportCounter_;
 };
 
 } // namespace foxtail
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -19,6 +19,12 @@
 struct FeedSlowServer;
 struct FeedSlowServerBuilder;
 
+struct FeedCrash;
+struct FeedCrashBuilder;
+
+struct FeedQuarantine;
+struct FeedQuarantineBuilder;
+
 struct FeedRequest;
 struct FeedRequestBuilder;
 
@@ -107,6 +113,157 @@
       age_ms);
 }
 
+struct FeedCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedCrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_SERVER = 6,
+    VT_SERVER_STARTED_AT_MS = 8,
+    VT_SENT_AGE_MS = 10,
+    VT_ENDED_AGE_MS = 12
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t server_started_at_ms() const {
+    return GetField<uint64_t>(VT_SERVER_STARTED_AT_MS, 0);
+  }
+  uint32_t sent_age_ms() const {
+    return GetField<uint32_t>(VT_SENT_AGE_MS, 0);
+  }
+  uint32_t ended_age_ms() const {
+    return GetField<uint32_t>(VT_ENDED_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_STARTED_AT_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SENT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ENDED_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedCrashBuilder {
+  typedef FeedCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(FeedCrash::VT_REQUEST, request, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(FeedCrash::VT_SERVER, server);
+  }
+  void add_server_started_at_ms(uint64_t server_started_at_ms) {
+    fbb_.AddElement<uint64_t>(FeedCrash::VT_SERVER_STARTED_AT_MS, server_started_at_ms, 0);
+  }
+  void add_sent_age_ms(uint32_t sent_age_ms) {
+    fbb_.AddElement<uint32_t>(FeedCrash::VT_SENT_AGE_MS, sent_age_ms, 0);
+  }
+  void add_ended_age_ms(uint32_t ended_age_ms) {
+    fbb_.AddElement<uint32_t>(FeedCrash::VT_ENDED_AGE_MS, ended_age_ms, 0);
+  }
+  explicit FeedCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedCrash>(end);
+    fbb_.Required(o, FeedCrash::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedCrash> CreateFeedCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t server_started_at_ms = 0,
+    uint32_t sent_age_ms = 0,
+    uint32_t ended_age_ms = 0) {
+  FeedCrashBuilder builder_(_fbb);
+  builder_.add_server_started_at_ms(server_started_at_ms);
+  builder_.add_request(request);
+  builder_.add_ended_age_ms(ended_age_ms);
+  builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FeedCrash> CreateFeedCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *server = nullptr,
+    uint64_t server_started_at_ms = 0,
+    uint32_t sent_age_ms = 0,
+    uint32_t ended_age_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return foxtail::wire::CreateFeedCrash(
+      _fbb,
+      request,
+      server__,
+      server_started_at_ms,
+      sent_age_ms,
+      ended_age_ms);
+}
+
+struct FeedQuarantine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedQuarantineBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_REMAINING_MS = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint32_t remaining_ms() const {
+    return GetField<uint32_t>(VT_REMAINING_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedQuarantineBuilder {
+  typedef FeedQuarantine Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(FeedQuarantine::VT_REQUEST, request, 0);
+  }
+  void add_remaining_ms(uint32_t remaining_ms) {
+    fbb_.AddElement<uint32_t>(FeedQuarantine::VT_REMAINING_MS, remaining_ms, 0);
+  }
+  explicit FeedQuarantineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedQuarantine> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedQuarantine>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedQuarantine> CreateFeedQuarantine(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint32_t remaining_ms = 0) {
+  FeedQuarantineBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_remaining_ms(remaining_ms);
+  return builder_.Finish();
+}
+
 struct FeedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FeedRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -120,7 +277,11 @@
     VT_WANTS_SERVERS = 18,
     VT_IS_CONTROL = 20,
     VT_SLOW_SERVERS = 22,
-    VT_KNOWN_SLOW = 24
+    VT_KNOWN_SLOW = 24,
+    VT_CRASHES = 26,
+    VT_ANSWERED = 28,
+    VT_QUARANTINES = 30,
+    VT_KNOWN_QUARANTINES = 32
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -155,6 +316,18 @@
   uint64_t known_slow() const {
     return GetField<uint64_t>(VT_KNOWN_SLOW, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedCrash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<uint64_t> *answered() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *>(VT_QUARANTINES);
+  }
+  uint64_t known_quarantines() const {
+    return GetField<uint64_t>(VT_KNOWN_QUARANTINES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -170,6 +343,15 @@
            verifier.VerifyVector(slow_servers()) &&
            verifier.VerifyVectorOfTables(slow_servers()) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_SLOW, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_ANSWERED) &&
+           verifier.VerifyVector(answered()) &&
+           VerifyOffset(verifier, VT_QUARANTINES) &&
+           verifier.VerifyVector(quarantines()) &&
+           verifier.VerifyVectorOfTables(quarantines()) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_QUARANTINES, 8) &&
            verifier.EndTable();
   }
 };
@@ -211,6 +393,18 @@
   void add_known_slow(uint64_t known_slow) {
     fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_SLOW, known_slow, 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedCrash>>> crashes) {
+    fbb_.AddOffset(FeedRequest::VT_CRASHES, crashes);
+  }
+  void add_answered(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered) {
+    fbb_.AddOffset(FeedRequest::VT_ANSWERED, answered);
+  }
+  void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines) {
+    fbb_.AddOffset(FeedRequest::VT_QUARANTINES, quarantines);
+  }
+  void add_known_quarantines(uint64_t known_quarantines) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_QUARANTINES, known_quarantines, 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -234,13 +428,21 @@
     bool wants_servers = false,
     bool is_control = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers = 0,
-    uint64_t known_slow = 0) {
+    uint64_t known_slow = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedCrash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
+    uint64_t known_quarantines = 0) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_known_quarantines(known_quarantines);
   builder_.add_known_slow(known_slow);
   builder_.add_known_controls(known_controls);
   builder_.add_known_version(known_version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_quarantines(quarantines);
+  builder_.add_answered(answered);
+  builder_.add_crashes(crashes);
   builder_.add_slow_servers(slow_servers);
   builder_.add_wait_ms(wait_ms);
   builder_.add_is_control(is_control);
@@ -262,8 +464,15 @@
     bool wants_servers = false,
     bool is_control = false,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers = nullptr,
-    uint64_t known_slow = 0) {
+    uint64_t known_slow = 0,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedCrash>> *crashes = nullptr,
+    const std::vector<uint64_t> *answered = nullptr,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
+    uint64_t known_quarantines = 0) {
   auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedCrash>>(*crashes) : 0;
+  auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
+  auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>(*quarantines) : 0;
   return foxtail::wire::CreateFeedRequest(
       _fbb,
       source,
@@ -276,7 +485,11 @@
       wants_servers,
       is_control,
       slow_servers__,
-      known_slow);
+      known_slow,
+      crashes__,
+      answered__,
+      quarantines__,
+      known_quarantines);
 }
 
 struct FeedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -541,7 +754,9 @@
     VT_DIGEST = 26,
     VT_REVISION = 28,
     VT_SLOW_SERVERS = 30,
-    VT_SLOW_REVISION = 32
+    VT_SLOW_REVISION = 32,
+    VT_QUARANTINES = 34,
+    VT_QUARANTINE_REVISION = 36
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -588,6 +803,12 @@
   uint64_t slow_revision() const {
     return GetField<uint64_t>(VT_SLOW_REVISION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *>(VT_QUARANTINES);
+  }
+  uint64_t quarantine_revision() const {
+    return GetField<uint64_t>(VT_QUARANTINE_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -615,6 +836,10 @@
            verifier.VerifyVector(slow_servers()) &&
            verifier.VerifyVectorOfTables(slow_servers()) &&
            VerifyField<uint64_t>(verifier, VT_SLOW_REVISION, 8) &&
+           VerifyOffset(verifier, VT_QUARANTINES) &&
+           verifier.VerifyVector(quarantines()) &&
+           verifier.VerifyVectorOfTables(quarantines()) &&
+           VerifyField<uint64_t>(verifier, VT_QUARANTINE_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -668,6 +893,12 @@
   void add_slow_revision(uint64_t slow_revision) {
     fbb_.AddElement<uint64_t>(FeedReply::VT_SLOW_REVISION, slow_revision, 0);
   }
+  void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines) {
+    fbb_.AddOffset(FeedReply::VT_QUARANTINES, quarantines);
+  }
+  void add_quarantine_revision(uint64_t quarantine_revision) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_QUARANTINE_REVISION, quarantine_revision, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -698,8 +929,11 @@
     uint64_t digest = 0,
     uint64_t revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers = 0,
-    uint64_t slow_revision = 0) {
+    uint64_t slow_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
+    uint64_t quarantine_revision = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_quarantine_revision(quarantine_revision);
   builder_.add_slow_revision(slow_revision);
   builder_.add_revision(revision);
   builder_.add_digest(digest);
@@ -707,6 +941,7 @@
   builder_.add_version(version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_quarantines(quarantines);
   builder_.add_slow_servers(slow_servers);
   builder_.add_zone(zone);
   builder_.add_entries(entries);
@@ -734,13 +969,16 @@
     uint64_t digest = 0,
     uint64_t revision = 0,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers = nullptr,
-    uint64_t slow_revision = 0) {
+    uint64_t slow_revision = 0,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
+    uint64_t quarantine_revision = 0) {
   auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
   auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
+  auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>(*quarantines) : 0;
   return foxtail::wire::CreateFeedReply(
       _fbb,
       source,
@@ -757,7 +995,9 @@
       digest,
       revision,
       slow_servers__,
-      slow_revision);
+      slow_revision,
+      quarantines__,
+      quarantine_revision);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -26,6 +26,7 @@
   , shared_{ ServerConnectionPoolMetrics(aMetrics),
              ReplyMemory(aSettings.replyMemory_),
              {},
+             CrashMonitor(aMetrics),
              RandomSource(aSeed + 1) }
   , random_(aSeed)
 {
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -83,6 +83,9 @@
     shared_.slowServers_.SetCallback(std::move(aCallback));
   }
 
+  /// @return which requests are not sent as they crash backend servers.
+  CrashMonitor& Crashes() { return shared_.crashes_; }
+
   void CheckTimeouts(TimePoint aNow);
 
   size_t Size() const { return byId_.size(); }
--- /dev/null
+++ b/src/forward/CrashMonitor.h
@@ -0,0 +1,69 @@
+#ifndef FORWARD_CRASHMONITOR_H
+#define FORWARD_CRASHMONITOR_H
+
+#include "policy/CrashSuspects.h"
+
+#include <functional>
+#include <prometheus/counter.h>
+#include <vector>
+
+namespace foxtail {
+
+class Metrics;
+
+/// Which requests this instance does not send, as they crash backend servers:
+/// CrashSuspects with its log lines and metrics, and the news that other
+/// instances need. Not thread-safe.
+class CrashMonitor
+{
+public:
+  using NewsCallback = std::function<void(const CrashNews&)>;
+
+  explicit CrashMonitor(Metrics& aMetrics);
+
+  /// Sets the function that tells other instances.
+  void OnNews(NewsCallback aCallback) { onNews_ = std::move(aCallback); }
+
+  /// The connection of a request has ended without a reply.
+  void OnUnanswered(RequestFingerprint aRequest, TimePoint aNow)
+  {
+    suspects_.OnUnanswered(aRequest, aNow);
+  }
+  /// A backend server has replied to a request.
+  void OnAnswered(RequestFingerprint aRequest, TimePoint aNow);
+  /// A backend server has crashed under these requests.
+  void OnCrash(const std::vector<RequestCrash>& aCrashes, TimePoint aNow);
+  /// Takes quarantines from other instances.
+  void OnQuarantines(const std::vector<RequestQuarantine>& aQuarantines,
+                     TimePoint aNow);
+
+  /// @return the quarantines in force.
+  std::vector<RequestQuarantine> Quarantines(TimePoint aNow) const
+  {
+    return suspects_.QuarantinedSince(0, aNow);
+  }
+  /// @return the end of the request's quarantine, or nothing when it may be
+  /// sent.
+  std::optional<TimePoint> QuarantinedUntil(RequestFingerprint aRequest,
+                                            TimePoint aNow) const
+  {
+    return suspects_.QuarantinedUntil(aRequest, aNow);
+  }
+
+private:
+  /// Logs the quarantines that began after a revision.
+  ///
+  /// @return these quarantines.
+  std::vector<RequestQuarantine> LogQuarantines(uint64_t aRevision,
+                                                std::string_view aFoundBy,
+                                                TimePoint aNow);
+
+  CrashSuspects suspects_;
+  NewsCallback onNews_;
+  prometheus::Counter& crashes_;
+  prometheus::Counter& quarantines_;
+};
+
+} // namespace foxtail
+
+#endif // FORWARD_CRASHMONITOR_H
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -179,6 +179,15 @@
   ForwardReply reply_;
 
   bool IsSent() const { return sentAt_ != TimePoint{}; }
+  /// @return whether the connection ended without a reply, as when the server
+  /// crashes.
+  bool IsUnanswered() const
+  {
+    return outcome_ == ExchangeOutcome::Failed &&
+           (fault_ == ExchangeFault::Closed ||
+            fault_ == ExchangeFault::ResetOnConnect ||
+            fault_ == ExchangeFault::Truncated);
+  }
 };
 
 } // namespace foxtail
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -97,6 +97,9 @@
               } }
   , heldTotal_(aMetrics.Counter("foxtail_forward_held_total",
                                 "Requests held while the instance started"))
+  , quarantineRefusals_(aMetrics.Counter(
+      "foxtail_forward_quarantine_refusals_total",
+      "Requests refused because servers have crashed under them"))
   , tickTimer_(aContext)
 {
   pools_.SetInstances(instances_, TimePoint{});
@@ -274,6 +277,11 @@
       "no route matches this host and path; check the document"));
     return nullptr;
   }
+  if (const auto until =
+        pools_.Crashes().QuarantinedUntil(aRequest.fingerprint_, aNow)) {
+    RefuseQuarantined(aRequest, *until, aOnComplete, aNow);
+    return nullptr;
+  }
   auto request = std::make_shared<const ForwardRequest>(std::move(aRequest));
   HandlerFactory factory{
     *this, *route, request, WithLatencyMetric(std::move(aOnComplete), aNow)
@@ -283,6 +291,25 @@
   return handler->IsDone() ? nullptr : handler;
 }
 
+void Gateway::RefuseQuarantined(
+  const ForwardRequest& aRequest,
+  TimePoint aUntil,
+  const RequestHandler::CompletionCallback& aOnComplete,
+  TimePoint aNow)
+{
+  quarantineRefusals_.Increment();
+  LogLine(LogLevel::Info, "request_refused_quarantined")
+    .Add("request", aRequest.id_)
+    .Add("fingerprint", ToHex(aRequest.fingerprint_))
+    .Add("for_ms", ToMilliseconds(aUntil - aNow));
+  aOnComplete(MakeLocalAnswer(
+    AnswerSource::NotRun,
+    kUnavailable,
+    "backend servers have crashed under this request; send another one, or "
+    "come back after the time that is stated",
+    std::chrono::ceil<milliseconds>(aUntil - aNow)));
+}
+
 RequestHandler::CompletionCallback Gateway::WithLatencyMetric(
   RequestHandler::CompletionCallback aOnComplete,
   TimePoint aNow)
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -57,6 +57,9 @@
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
 
+  /// @return which requests are not sent as they crash backend servers.
+  CrashMonitor& Crashes() { return pools_.Crashes(); }
+
   /// @return the longest time for which a request that is read now may have
   /// waited while this process was paused.
   Duration PossibleReadDelay(TimePoint aNow) const
@@ -83,6 +86,10 @@
     ForwardRequest aRequest,
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
+  void RefuseQuarantined(const ForwardRequest& aRequest,
+                         TimePoint aUntil,
+                         const RequestHandler::CompletionCallback& aOnComplete,
+                         TimePoint aNow);
   void ReleaseHeld(TimePoint aNow);
   ExtraAttemptBudget& BudgetOf(const ServiceName& aService);
   RouteStats& StatsOf(const Route& aRoute);
@@ -110,6 +117,7 @@
   HeldRequests held_;
   PauseDetector pauseDetector_;
   prometheus::Counter& heldTotal_;
+  prometheus::Counter& quarantineRefusals_;
   boost::asio::steady_timer tickTimer_;
   TimePoint startedAt_{};
   TimePoint nextTrafficLogAt_{};
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -79,25 +79,67 @@
       parts_[shard].state_ != PartState::Pending) {
     return;
   }
+  hasReply_ = hasReply_ || aExchange.outcome_ == ExchangeOutcome::Answered;
+  unanswered_ += aExchange.IsUnanswered() ? 1 : 0;
   const bool isPart = aExchange.outcome_ == ExchangeOutcome::Answered &&
                       aExchange.reply_.IsSuccess();
   if (isPart) {
     parts_[shard].signature_ = std::move(aExchange.reply_.signature_);
     parts_[shard].records_ = std::move(aExchange.reply_.body_);
     SetPartState(shard, PartState::Included, aNow);
-  } else if (attempts_[shard].outstanding_.empty() &&
-             !TryRetry(attempts_[shard], shard, NeedsMoreParts(), aNow)) {
-    if (TryReturnLater(attempts_[shard], aNow)) {
-      EvaluateProgress(aNow);
+  } else if (attempts_[shard].outstanding_.empty()) {
+    if (MayCrashServers()) {
+      heldRetries_.push_back(shard);
     } else {
-      SetPartState(shard, PartState::Missing, aNow);
+      RetryShard(shard, aNow);
     }
   }
+  DecideHeldRetries(aNow);
   if (!IsDone()) {
     ScheduleTimer(aNow);
   }
 }
 
+void GatherRequestHandler::RetryShard(uint32_t aShard, TimePoint aNow)
+{
+  ServiceAttempts& attempts = attempts_[aShard];
+  if (TryRetry(attempts, aShard, NeedsMoreParts(), aNow)) {
+    return;
+  }
+  if (TryReturnLater(attempts, aNow)) {
+    EvaluateProgress(aNow);
+  } else {
+    SetPartState(aShard, PartState::Missing, aNow);
+  }
+}
+
+void GatherRequestHandler::DecideHeldRetries(TimePoint aNow)
+{
+  if (IsDone() || heldRetries_.empty()) {
+    return;
+  }
+  if (!MayCrashServers()) {
+    for (const uint32_t shard : std::exchange(heldRetries_, {})) {
+      if (!IsDone()) {
+        RetryShard(shard, aNow);
+      }
+    }
+    return;
+  }
+  const bool isWaiting = std::any_of(
+    attempts_.begin(), attempts_.end(), [](const ServiceAttempts& aAttempts) {
+      return !aAttempts.outstanding_.empty() ||
+             aAttempts.sendAt_ != TimePoint::max();
+    });
+  if (!isWaiting) {
+    Finish(FailureAnswer(std::to_string(unanswered_) +
+                           " backend servers ended the connection without a "
+                           "reply and none replied",
+                         false),
+           aNow);
+  }
+}
+
 void GatherRequestHandler::SetPartState(uint32_t aShard,
                                         PartState aState,
                                         TimePoint aNow)
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -42,6 +42,18 @@
   TimePoint NextTimerAt(TimePoint aNow) const override;
   std::span<ServiceAttempts> AllAttempts() override { return attempts_; }
 
+  /// @return whether servers may be crashing because of this query: several
+  /// have ended a connection without a reply, and none has replied.
+  bool MayCrashServers() const
+  {
+    return !hasReply_ && unanswered_ > kMaxUnansweredRetried;
+  }
+  /// Sends the query to another server of a shard after an attempt has failed,
+  /// now or later, or gives the shard up.
+  void RetryShard(uint32_t aShard, TimePoint aNow);
+  /// Sends the held retries once a server has replied, or fails the query when
+  /// no attempt is left that could be replied to.
+  void DecideHeldRetries(TimePoint aNow);
   void SetPartState(uint32_t aShard, PartState aState, TimePoint aNow);
   void EvaluateProgress(TimePoint aNow);
   GatherProgress Progress(TimePoint aNow) const;
@@ -51,10 +63,20 @@
   bool NeedsMoreParts() const;
   ForwardAnswer MergeParts() const;
 
+  /// Attempts without a reply that are retried before any server has replied:
+  /// enough to tell a query that crashes servers from one that has lost them,
+  /// without crashing a second server of each shard.
+  static constexpr uint32_t kMaxUnansweredRetried = 2;
+
   const GatherTarget& target_;
   /// One element per shard, in the order of GatherTarget::shards_.
   std::vector<ServiceAttempts> attempts_;
   std::vector<Part> parts_;
+  /// Shards whose retry waits for the first reply of any server.
+  std::vector<uint32_t> heldRetries_;
+  bool hasReply_ = false;
+  /// Attempts whose connection ended without a reply.
+  uint32_t unanswered_ = 0;
   uint32_t included_ = 0;
   uint32_t missing_ = 0;
 };
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -220,6 +220,13 @@
   }
 }
 
+bool RequestHandler::IsQuarantined(TimePoint aNow) const
+{
+  return context_.pools_.Crashes()
+    .QuarantinedUntil(request_->fingerprint_, aNow)
+    .has_value();
+}
+
 double RequestHandler::BudgetReserve(bool aIsRequired) const
 {
   return aIsRequired ? context_.settings_.requiredReserve_
@@ -236,7 +243,8 @@
   }
   aAttempts.hedgeAt_ = TimePoint::max();
   if (aAttempts.countedAttempts_ + aAttempts.outstanding_.size() >=
-      route_.maxAttempts_) {
+        route_.maxAttempts_ ||
+      IsQuarantined(aNow)) {
     return;
   }
   if (!context_.budgetOf_(aAttempts.service_)
@@ -260,7 +268,7 @@
      aAttempts.countedAttempts_ + aAttempts.outstanding_.size() <
        route_.maxAttempts_);
   if (!isAllowed || aAttempts.sendCount_ >= kMaxSendsPerService ||
-      aNow >= responseDeadline_) {
+      aNow >= responseDeadline_ || IsQuarantined(aNow)) {
     return false;
   }
   // An attempt that was not written, or whose new connection was reset at once,
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -247,6 +247,9 @@
   /// @return the share of the budget, 0 to 1, that such an extra attempt must
   /// leave unused.
   double BudgetReserve(bool aIsRequired) const;
+  /// @return whether the request must not be sent to another server, as it
+  /// crashes them.
+  bool IsQuarantined(TimePoint aNow) const;
 
   CompletionCallback onComplete_;
   bool isDone_ = false;
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -66,8 +66,6 @@
   , sentToRateLimited_(
       aMetrics.Counter("foxtail_forward_sent_to_rate_limited_total",
                        "Requests written to such servers"))
-  , crashes_(aMetrics.Counter("foxtail_forward_server_crashes_total",
-                              "Backend servers that crashed under requests"))
   , permitWaits_(
       aMetrics.Counter("foxtail_forward_rate_limit_waits_total",
                        "Requests that waited for a server's rate limit"))
@@ -390,14 +388,13 @@
   if (aExchange.fault_ == ExchangeFault::Abandoned) {
     return;
   }
-  const bool isUnanswered =
-    aExchange.outcome_ == ExchangeOutcome::Failed &&
-    (aExchange.fault_ == ExchangeFault::Closed ||
-     aExchange.fault_ == ExchangeFault::ResetOnConnect ||
-     aExchange.fault_ == ExchangeFault::Truncated);
-  if (isUnanswered) {
-    crashDetector_.OnUnanswered(
-      { aExchange.request_->fingerprint_, aExchange.sentAt_ }, aNow);
+  if (aExchange.outcome_ == ExchangeOutcome::Answered) {
+    shared_.crashes_.OnAnswered(aExchange.request_->fingerprint_, aNow);
+  }
+  if (aExchange.IsUnanswered()) {
+    const RequestFingerprint request = aExchange.request_->fingerprint_;
+    shared_.crashes_.OnUnanswered(request, aNow);
+    crashDetector_.OnUnanswered({ request, aExchange.sentAt_, aNow }, aNow);
   }
   if (aExchange.fault_ == ExchangeFault::ResetOnConnect) {
     RecordConnectFailure(aNow);
@@ -471,23 +468,16 @@
 
 void ServerConnectionPool::RecordCrash(TimePoint aNow)
 {
-  const auto requests = crashDetector_.OnConnectRefused(aNow);
-  if (requests.empty()) {
-    return;
-  }
-  shared_.metrics_.crashes_.Increment();
-  // Enough to find a request that is in the lines of several crashes.
-  constexpr size_t kMaxLoggedRequests = 8;
-  std::string fingerprints;
-  for (size_t i = 0; i < std::min(requests.size(), kMaxLoggedRequests); ++i) {
-    fingerprints += (i == 0 ? "" : ",") + ToHex(requests[i].request_);
-  }
-  LogLine(LogLevel::Warning, "server_crashed")
-    .Add("server", announcement_.id_)
-    .Add("service", announcement_.service_)
-    .Add("started_at_ms", announcement_.startedAtMs_)
-    .Add("requests", requests.size())
-    .Add("fingerprints", fingerprints);
+  std::vector<RequestCrash> crashes;
+  for (const UnansweredRequest& request :
+       crashDetector_.OnConnectRefused(aNow)) {
+    crashes.push_back({ request.request_,
+                        announcement_.id_,
+                        announcement_.startedAtMs_,
+                        request.sentAt_,
+                        request.endedAt_ });
+  }
+  shared_.crashes_.OnCrash(crashes, aNow);
 }
 
 void ServerConnectionPool::RecordRateLimit(const StatedRateLimit& aLimit,
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -1,6 +1,7 @@
 #ifndef FORWARD_SERVERCONNECTIONPOOL_H
 #define FORWARD_SERVERCONNECTIONPOOL_H
 
+#include "forward/CrashMonitor.h"
 #include "forward/ServerConnection.h"
 #include "policy/CrashDetector.h"
 #include "policy/LatencyPredictor.h"
@@ -33,7 +34,6 @@
   std::array<prometheus::Counter*, EnumTable<ZoneDistance>::kRows.size()> sent_;
   prometheus::Gauge& rateLimitedServers_;
   prometheus::Counter& sentToRateLimited_;
-  prometheus::Counter& crashes_;
   /// Requests that waited for a permit.
   prometheus::Counter& permitWaits_;
 };
@@ -44,6 +44,7 @@
   ServerConnectionPoolMetrics metrics_;
   ReplyMemory replyMemory_;
   SlowServerReporter slowServers_;
+  CrashMonitor crashes_;
   RandomSource random_;
 };
 
--- a/src/policy/CrashDetector.h
+++ b/src/policy/CrashDetector.h
@@ -22,8 +22,8 @@
   /// How long after a request was left unanswered a refused connection shows
   /// that the server crashed under it.
   milliseconds confirmWithin_{ 2000 };
-  /// How long after a request was left unanswered the ends of the server's other
-  /// connections may still arrive.
+  /// How long after a request was left unanswered the ends of the server's
+  /// other connections may still arrive.
   milliseconds settleTime_{ 20 };
   /// Requests that are kept until they are confirmed.
   size_t maxRequests_ = 64;
@@ -34,6 +34,7 @@
 {
   RequestFingerprint request_;
   TimePoint sentAt_{};
+  TimePoint endedAt_{};
 };
 
 /// Tells a crash of a backend server from a connection that was lost: after a
--- /dev/null
+++ b/src/policy/CrashSuspects.h
@@ -0,0 +1,132 @@
+#ifndef POLICY_CRASHSUSPECTS_H
+#define POLICY_CRASHSUSPECTS_H
+
+#include "policy/CrashDetector.h"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace foxtail {
+
+/// A backend server crashed while it had a request.
+struct RequestCrash
+{
+  RequestFingerprint request_;
+  BackendId server_;
+  /// Start of the server's process, milliseconds since the Unix epoch.
+  uint64_t serverStartedAtMs_ = 0;
+  TimePoint sentAt_{};
+  /// When the request's connection ended.
+  TimePoint endedAt_{};
+};
+
+/// A backend server replied to a request that was under suspicion.
+struct RequestAnswered
+{
+  RequestFingerprint request_;
+};
+
+/// A request is not sent to any backend server for a while.
+struct RequestQuarantine
+{
+  RequestFingerprint request_;
+  TimePoint until_{};
+};
+
+/// What instances tell each other about requests and crashes.
+using CrashNews =
+  std::variant<RequestCrash, RequestAnswered, RequestQuarantine>;
+
+struct CrashSuspectsSettings
+{
+  /// Server processes that must have crashed under a request.
+  size_t minServers_ = 3;
+  /// How long a quarantine lasts. When it ends, one more crash begins another.
+  seconds quarantine_{ 300 };
+  /// How long a crash counts.
+  seconds crashLifetime_{ 3600 };
+  /// How long a request is kept of which no crash is known.
+  seconds unansweredLifetime_{ 10 };
+  /// Bounds of the memory: requests, and servers of one request.
+  size_t maxRequests_ = 4096;
+  size_t maxServers_ = 16;
+};
+
+/// Finds requests that crash the backend servers that run them. A crash ends
+/// all requests that the server had, most of which are not its cause. So a
+/// request is blamed only when several server processes have crashed under it,
+/// one of them although the request was sent after another crash under it, and
+/// no server has replied to it: the other requests get a reply when they are
+/// sent again. Used by entry instances and, with what these tell them, by
+/// control instances. Not thread safe.
+class CrashSuspects
+{
+public:
+  explicit CrashSuspects(CrashSuspectsSettings aSettings = {});
+
+  /// Notes a request whose connection ended without a reply, so that a reply to
+  /// it that arrives before the crash is confirmed is remembered.
+  void OnUnanswered(RequestFingerprint aRequest, TimePoint aNow);
+
+  /// @return whether the crash was not known and counts.
+  bool OnCrash(const RequestCrash& aCrash, TimePoint aNow);
+
+  /// @return whether the request was under suspicion until now.
+  bool OnAnswered(RequestFingerprint aRequest, TimePoint aNow);
+
+  /// Begins or extends a quarantine that another instance has found necessary.
+  void OnQuarantine(const RequestQuarantine& aQuarantine, TimePoint aNow);
+
+  /// Applies what another instance tells.
+  void Apply(const CrashNews& aNews, TimePoint aNow);
+
+  /// @return the end of the request's quarantine, or nothing when it may be
+  /// sent.
+  std::optional<TimePoint> QuarantinedUntil(RequestFingerprint aRequest,
+                                            TimePoint aNow) const;
+
+  /// Increases with each quarantine that begins or is extended.
+  uint64_t Revision() const { return revision_; }
+  /// @return the quarantines that began or were extended after a revision.
+  std::vector<RequestQuarantine> QuarantinedSince(uint64_t aRevision,
+                                                  TimePoint aNow) const;
+
+private:
+  struct ServerProcess
+  {
+    BackendId id_;
+    uint64_t startedAtMs_ = 0;
+
+    bool operator==(const ServerProcess&) const = default;
+  };
+  struct Record
+  {
+    /// Server processes that crashed under the request.
+    std::vector<ServerProcess> crashed_;
+    /// End of the first attempt under which a server crashed, and the start of
+    /// the latest one.
+    TimePoint firstEndedAt_ = TimePoint::max();
+    TimePoint lastSentAt_{};
+    TimePoint lastEventAt_{};
+    TimePoint answeredAt_{};
+    TimePoint quarantinedUntil_{};
+    uint64_t quarantineRevision_ = 0;
+  };
+
+  Record& RecordOf(RequestFingerprint aRequest, TimePoint aNow);
+  void RemoveExpired(TimePoint aNow);
+  bool IsBlamed(const Record& aRecord) const;
+  void BeginQuarantine(Record& aRecord, TimePoint aUntil);
+
+  CrashSuspectsSettings settings_;
+  std::unordered_map<RequestFingerprint, Record> records_;
+  uint64_t revision_ = 0;
+  TimePoint nextCleanupAt_{};
+};
+
+} // namespace foxtail
+
+#endif // POLICY_CRASHSUSPECTS_H
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -114,6 +114,14 @@
     own_.feed_.OnPeerServers(aDirectory, aNow);
   }
   void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
+  void OnFeedQuarantines(const std::vector<RequestQuarantine>&,
+                         TimePoint) override
+  {
+  }
+  std::vector<RequestQuarantine> QuarantinesInForce(TimePoint) override
+  {
+    return {};
+  }
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
 
   Source& own_;
@@ -163,6 +171,7 @@
 
   std::vector<std::string> texts_;
   std::vector<SlowServer> slowServers_;
+  std::vector<RequestQuarantine> quarantines_;
   uint32_t entryInstances_ = 0;
   bool areEntriesComplete_ = false;
 
@@ -187,6 +196,16 @@
   {
     slowServers_.insert(slowServers_.end(), aServers.begin(), aServers.end());
   }
+  void OnFeedQuarantines(const std::vector<RequestQuarantine>& aQuarantines,
+                         TimePoint) override
+  {
+    quarantines_.insert(
+      quarantines_.end(), aQuarantines.begin(), aQuarantines.end());
+  }
+  std::vector<RequestQuarantine> QuarantinesInForce(TimePoint) override
+  {
+    return quarantines_;
+  }
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint) override
@@ -412,6 +431,80 @@
   CHECK(last.RunOnWorker([&] { return last.slowServers_.size(); }) == 1);
 }
 
+// Guards against a request that crashes one server at each instance, each of
+// which knows of one crash only.
+TEST_CASE("feed: a request under which three servers crash is quarantined")
+{
+  const RequestFingerprint request(7);
+  const auto isKnown = [](Client& aClient) {
+    return aClient.WaitFor([&] { return !aClient.quarantines_.empty(); });
+  };
+  auto source = std::make_unique<Source>("control-1", "zone-a");
+  Source far("control-2", "zone-b");
+  const std::string endpoint = source->Endpoint();
+  for (Source* each : { source.get(), &far }) {
+    each->feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  }
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 3; ++i) {
+    clients.push_back(
+      std::make_unique<Client>(std::vector{ endpoint, far.Endpoint() },
+                               ("entry-" + std::to_string(i)).c_str()));
+  }
+  for (const auto& client : clients) {
+    REQUIRE(
+      client->WaitFor([&] { return client->feed_.LiveSources(Now()) == 2; }));
+  }
+  const auto report = [&](size_t aClient, CrashNews aNews) {
+    clients[aClient]->RunOnWorker([&] {
+      clients[aClient]->feed_.ReportCrashNews(aNews);
+      return true;
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+  };
+  const auto crash = [&](size_t aClient, const char* aServer) {
+    const TimePoint now = Now();
+    report(aClient, RequestCrash{ request, BackendId(aServer), 1, now, now });
+  };
+  crash(0, "i-0");
+  crash(1, "i-1");
+  report(1, RequestAnswered{ request });
+  crash(2, "i-2");
+  // A server has replied to the request, so two of the crashes do not count.
+  CHECK(
+    clients[0]->RunOnWorker([&] { return clients[0]->quarantines_.empty(); }));
+  crash(0, "i-3");
+  crash(1, "i-4");
+  for (const auto& client : clients) {
+    REQUIRE(isKnown(*client));
+    CHECK(client->RunOnWorker(
+            [&] { return client->quarantines_[0].request_; }) == request);
+  }
+  // Without the near source, a new instance learns of it from the far one.
+  source.reset();
+  Client late({ far.Endpoint() }, "entry-9");
+  CHECK(isKnown(late));
+}
+
+TEST_CASE(
+  "feed: a restarted control instance receives the quarantines in force")
+{
+  Source first("control-1", "zone-a");
+  Source second("control-2", "zone-b");
+  Client client({ first.Endpoint() });
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 1; }));
+  const RequestQuarantine quarantine{ RequestFingerprint(7),
+                                      Now() + seconds(100) };
+  client.RunOnWorker([&] {
+    client.quarantines_.push_back(quarantine);
+    // A source that this instance has not heard from, as after a restart.
+    client.feed_.SetSeeds({ second.Endpoint() }, Now());
+    return true;
+  });
+  Client other({ second.Endpoint() }, "entry-2");
+  CHECK(other.WaitFor([&] { return !other.quarantines_.empty(); }));
+}
+
 TEST_CASE("feed: changed servers are sent by the nearest source only")
 {
   Source near("control-1", "zone-a");
--- a/tests/forward/CrashingRequestTest.cpp
+++ b/tests/forward/CrashingRequestTest.cpp
@@ -1,6 +1,7 @@
 #include "ForwardFixture.h"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -8,21 +9,27 @@
 
 namespace {
 
-const HeaderNames kHeaders;
 constexpr const char* kDeadly = "deadly";
 
-/// @return the script of a server that crashes under each deadly request.
-ScriptedServer::Script CrashUnderDeadly()
+constexpr const char* kVictim = "victim";
+
+/// @return the script of a server that crashes under each deadly request, and
+/// under the first victim request that any server of its service gets.
+ScriptedServer::Script CrashScript(
+  std::shared_ptr<std::atomic<bool>> aHasVictim)
 {
-  return [](const std::string& aRequest, size_t) {
-    if (aRequest.find(kDeadly) != std::string::npos) {
-      ScriptedReply crash;
-      crash.delay_ = milliseconds(10);
-      crash.crashes_ = true;
-      return crash;
-    }
-    return ScriptedReply{ SignedReply("0123456789abcdef") };
-  };
+  return
+    [hasVictim = std::move(aHasVictim)](const std::string& aRequest, size_t) {
+      const bool isVictim = aRequest.find(kVictim) != std::string::npos;
+      if (aRequest.find(kDeadly) != std::string::npos ||
+          (isVictim && !hasVictim->exchange(true))) {
+        ScriptedReply crash;
+        crash.delay_ = milliseconds(10);
+        crash.crashes_ = true;
+        return crash;
+      }
+      return ScriptedReply{ SignedReply("0123456789abcdef") };
+    };
 }
 
 /// Services with several backend servers each, behind a gateway that has a
@@ -49,9 +56,10 @@
     document.routes_.push_back(all);
     gateway_.SetRoutes(std::move(document));
     for (const std::string& name : names) {
+      const auto hasVictim = std::make_shared<std::atomic<bool>>(false);
       for (size_t k = 0; k < aServers; ++k) {
         servers_.push_back(
-          std::make_unique<ScriptedServer>(CrashUnderDeadly()));
+          std::make_unique<ScriptedServer>(CrashScript(hasVictim)));
         const std::string id = name + "-" + std::to_string(k);
         gateway_.Announce(id.c_str(), name.c_str(), servers_.back()->Address());
       }
@@ -118,3 +126,12 @@
     CHECK(fixture.Get("/all/healthy") == 200);
   }
 }
+
+// Guards against blaming the requests that a server had when another one
+// crashed it.
+TEST_CASE("a query whose servers crash together is answered by the others")
+{
+  CrashFixture fixture(5, 2);
+  CHECK(fixture.Get("/all/victim") == 200);
+  CHECK(fixture.Get("/all/victim") == 200);
+}
--- a/tests/forward/ScriptedServer.h
+++ b/tests/forward/ScriptedServer.h
@@ -29,8 +29,6 @@
   bool closeAfter_ = false;
   /// Resets the connection after the reply.
   bool resetAfter_ = false;
-  /// Ends the server: it resets the connection and refuses new ones.
-  bool crashes_ = false;
   /// Sends nothing and keeps the connection open.
   bool isSilent_ = false;
   /// Sent again and again after bytes_ until the connection is closed.
@@ -38,6 +36,9 @@
   /// Sent on the same connection when its next request has arrived, before the
   /// reply to that request.
   std::string lateBytes_{};
+  /// Ends the server instead of a reply: it resets the connection and refuses
+  /// new ones.
+  bool crashes_ = false;
 };
 
 /// A backend server that sends replies chosen by a test.
--- /dev/null
+++ b/tests/policy/CrashSuspectsTest.cpp
@@ -0,0 +1,183 @@
+#include "policy/CrashSuspects.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace foxtail;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds(1000) };
+const RequestFingerprint kRequest(1);
+
+/// Attempt of the request that was sent and ended at these times after kStart.
+struct Attempt
+{
+  const char* server_;
+  milliseconds sentAt_;
+  milliseconds endedAt_;
+  /// Whether the server replied; else it crashed.
+  bool isAnswered_ = false;
+};
+
+RequestCrash CrashOf(const Attempt& aAttempt)
+{
+  return { kRequest,
+           BackendId(aAttempt.server_),
+           7,
+           kStart + aAttempt.sentAt_,
+           kStart + aAttempt.endedAt_ };
+}
+
+void Play(CrashSuspects& aSuspects, const std::vector<Attempt>& aAttempts)
+{
+  for (const Attempt& attempt : aAttempts) {
+    const TimePoint endedAt = kStart + attempt.endedAt_;
+    if (attempt.isAnswered_) {
+      aSuspects.OnAnswered(kRequest, endedAt);
+    } else {
+      aSuspects.OnUnanswered(kRequest, endedAt);
+      aSuspects.OnCrash(CrashOf(attempt), endedAt);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("which requests are blamed for crashes of servers")
+{
+  using std::chrono::milliseconds;
+  struct Row
+  {
+    const char* name_;
+    std::vector<Attempt> attempts_;
+    bool isBlamed_;
+  };
+  const auto at = [](int aMs) { return milliseconds(aMs); };
+  const Row rows[] = {
+    { "three servers in turn",
+      { { "a", at(0), at(50) },
+        { "b", at(50), at(90) },
+        { "c", at(900), at(950) } },
+      true },
+    { "two servers",
+      { { "a", at(0), at(50) }, { "b", at(50), at(90) } },
+      false },
+    { "many servers that crash together, as in a loss of power",
+      { { "a", at(0), at(50) },
+        { "b", at(0), at(50) },
+        { "c", at(0), at(50) },
+        { "d", at(0), at(51) } },
+      false },
+    { "the same, and a retry that crashes one more",
+      { { "a", at(0), at(50) },
+        { "b", at(0), at(50) },
+        { "c", at(0), at(50) },
+        { "d", at(50), at(99) } },
+      true },
+    { "the same, and a retry that is replied to",
+      { { "a", at(0), at(50) },
+        { "b", at(0), at(50) },
+        { "c", at(0), at(50) },
+        { "e", at(50), at(80), true },
+        { "d", at(50), at(99) } },
+      false },
+    { "one server that crashes again and again is known once",
+      { { "a", at(0), at(50) },
+        { "a", at(50), at(90) },
+        { "a", at(99), at(120) } },
+      false },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    CrashSuspects suspects;
+    Play(suspects, row.attempts_);
+    CHECK(
+      suspects.QuarantinedUntil(kRequest, kStart + seconds(1)).has_value() ==
+      row.isBlamed_);
+    CHECK(suspects.QuarantinedSince(0, kStart + seconds(1)).size() ==
+          (row.isBlamed_ ? 1 : 0));
+  }
+}
+
+TEST_CASE(
+  "a reply that arrives before the crash is confirmed clears the request")
+{
+  CrashSuspects suspects;
+  const Attempt lost{ "a", milliseconds(0), milliseconds(50) };
+  suspects.OnUnanswered(kRequest, kStart + lost.endedAt_);
+  suspects.OnAnswered(kRequest, kStart + milliseconds(70));
+  CHECK_FALSE(suspects.OnCrash(CrashOf(lost), kStart + milliseconds(100)));
+}
+
+TEST_CASE("the end of a quarantine")
+{
+  CrashSuspectsSettings settings;
+  settings.quarantine_ = seconds(10);
+  CrashSuspects suspects(settings);
+  Play(suspects,
+       { { "a", milliseconds(0), milliseconds(50) },
+         { "b", milliseconds(50), milliseconds(90) },
+         { "c", milliseconds(90), milliseconds(99) } });
+  REQUIRE(suspects.QuarantinedUntil(kRequest, kStart + seconds(9)));
+  CHECK_FALSE(suspects.QuarantinedUntil(kRequest, kStart + seconds(11)));
+  SUBCASE("one more crash begins another")
+  {
+    Play(suspects, { { "d", seconds(11), seconds(12) } });
+    CHECK(suspects.QuarantinedUntil(kRequest, kStart + seconds(13)));
+  }
+  SUBCASE("a reply ends the suspicion")
+  {
+    Play(suspects,
+         { { "d", seconds(11), seconds(12), true },
+           { "e", seconds(13), seconds(14) } });
+    CHECK_FALSE(suspects.QuarantinedUntil(kRequest, kStart + seconds(15)));
+  }
+}
+
+TEST_CASE("a quarantine of other instances is taken, for a bounded time")
+{
+  CrashSuspects suspects;
+  const CrashSuspectsSettings settings;
+  suspects.Apply(RequestQuarantine{ kRequest, kStart + seconds(9999) }, kStart);
+  CHECK(*suspects.QuarantinedUntil(kRequest, kStart) ==
+        kStart + settings.quarantine_);
+  const uint64_t revision = suspects.Revision();
+  // What comes back from other instances is no news.
+  suspects.Apply(RequestQuarantine{ kRequest, kStart + seconds(301) }, kStart);
+  CHECK(suspects.Revision() == revision);
+}
+
+TEST_CASE("memory of suspects is bounded and keeps quarantined requests")
+{
+  CrashSuspectsSettings settings;
+  settings.maxRequests_ = 10;
+  CrashSuspects suspects(settings);
+  suspects.OnQuarantine({ kRequest, kStart + seconds(100) }, kStart);
+  for (uint64_t i = 2; i < 100; ++i) {
+    suspects.OnUnanswered(RequestFingerprint(i), kStart);
+  }
+  CHECK(suspects.QuarantinedUntil(kRequest, kStart));
+}
+
+TEST_CASE("a crash is told from a lost connection by a refused connect")
+{
+  const UnansweredRequest request{ kRequest, kStart, kStart };
+  CrashDetector detector;
+  detector.OnUnanswered(request, kStart);
+  SUBCASE("refused soon")
+  {
+    CHECK(detector.IsUndecided(kStart + milliseconds(50)));
+    CHECK(detector.OnConnectRefused(kStart + milliseconds(60)).size() == 1);
+    CHECK(detector.OnConnectRefused(kStart + milliseconds(70)).empty());
+  }
+  SUBCASE("refused too late")
+  {
+    CHECK(detector.OnConnectRefused(kStart + seconds(10)).empty());
+  }
+  SUBCASE("a connection was opened meanwhile")
+  {
+    detector.OnAlive();
+    CHECK(detector.OnConnectRefused(kStart + milliseconds(60)).empty());
+  }
+}
