policy: a request's first quarantine is provisional until all crashes are known

Cause: an instance does not know of crashes that others have seen; a victim whose retry meets the deadly request again looks like a cause to it.

Change: crashes that a request shares with one under which more servers have crashed do not count; the first quarantine lasts 2 s, and control instances, which all entry instances tell of crashes, extend it after 0.5 s when the request is still blamed.

--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -255,6 +255,7 @@
     crashSuspects_.OnQuarantine(
       { quarantine.request_, aNow + quarantine.remaining_ }, aNow);
   }
+  crashSuspects_.Review(aNow);
   if (crashSuspects_.Revision() == before) {
     return;
   }
--- a/src/policy/CrashSuspects.cpp
+++ b/src/policy/CrashSuspects.cpp
@@ -30,8 +30,12 @@
   }
   record.firstEndedAt_ = std::min(record.firstEndedAt_, aCrash.endedAt_);
   record.lastSentAt_ = std::max(record.lastSentAt_, aCrash.sentAt_);
-  if (IsBlamed(record) && record.quarantinedUntil_ <= aNow) {
-    BeginQuarantine(record, aNow + settings_.quarantine_);
+  if (record.quarantinedUntil_ <= aNow && IsBlamed(record)) {
+    const Duration duration = record.wasBlamed_
+                                ? Duration(settings_.quarantine_)
+                                : Duration(settings_.provisional_);
+    BeginQuarantine(record, aNow + duration);
+    ScheduleReview(record, aNow);
   }
   return true;
 }
@@ -48,6 +52,7 @@
   record.crashed_.clear();
   record.firstEndedAt_ = TimePoint::max();
   record.lastSentAt_ = TimePoint{};
+  record.wasBlamed_ = false;
   return wasSuspected;
 }
 
@@ -63,9 +68,37 @@
   constexpr seconds kMinExtension{ 5 };
   if (until > record.quarantinedUntil_ + kMinExtension) {
     BeginQuarantine(record, until);
+    ScheduleReview(record, aNow);
   }
 }
 
+void CrashSuspects::Review(TimePoint aNow)
+{
+  if (aNow < nextReviewAt_) {
+    return;
+  }
+  nextReviewAt_ = TimePoint::max();
+  for (auto& [request, record] : records_) {
+    if (record.reviewAt_ > aNow) {
+      nextReviewAt_ = std::min(nextReviewAt_, record.reviewAt_);
+      continue;
+    }
+    record.reviewAt_ = TimePoint::max();
+    const TimePoint until = aNow + settings_.quarantine_;
+    if (IsBlamed(record) &&
+        record.quarantinedUntil_ < until - settings_.provisional_) {
+      BeginQuarantine(record, until);
+    }
+  }
+}
+
+void CrashSuspects::ScheduleReview(Record& aRecord, TimePoint aNow)
+{
+  aRecord.wasBlamed_ = true;
+  aRecord.reviewAt_ = aNow + settings_.reviewAfter_;
+  nextReviewAt_ = std::min(nextReviewAt_, aRecord.reviewAt_);
+}
+
 void CrashSuspects::Apply(const CrashNews& aNews, TimePoint aNow)
 {
   struct Visitor
@@ -153,7 +186,23 @@
 bool CrashSuspects::IsBlamed(const Record& aRecord) const
 {
   return aRecord.crashed_.size() >= settings_.minServers_ &&
-         aRecord.lastSentAt_ >= aRecord.firstEndedAt_;
+         aRecord.lastSentAt_ >=
+           aRecord.firstEndedAt_ - settings_.timePrecision_ &&
+         CountUnexplained(aRecord) >= settings_.minServers_;
+}
+
+size_t CrashSuspects::CountUnexplained(const Record& aRecord) const
+{
+  const auto isExplained = [&](const ServerProcess& aServer) {
+    return std::any_of(records_.begin(), records_.end(), [&](const auto& aRow) {
+      const auto& others = aRow.second.crashed_;
+      return others.size() > aRecord.crashed_.size() &&
+             std::find(others.begin(), others.end(), aServer) != others.end();
+    });
+  };
+  return aRecord.crashed_.size() -
+         static_cast<size_t>(std::count_if(
+           aRecord.crashed_.begin(), aRecord.crashed_.end(), isExplained));
 }
 
 void CrashSuspects::BeginQuarantine(Record& aRecord, TimePoint aUntil)
--- a/src/policy/CrashSuspects.h
+++ b/src/policy/CrashSuspects.h
@@ -46,13 +46,21 @@
   size_t minServers_ = 3;
   /// How long a quarantine lasts. When it ends, one more crash begins another.
   seconds quarantine_{ 300 };
+  /// How long the first quarantine of a request lasts unless a review extends
+  /// it: crashes that explain it may still be on their way from other
+  /// instances.
+  milliseconds provisional_{ 2000 };
+  /// Time from the begin of a provisional quarantine to its review.
+  milliseconds reviewAfter_{ 500 };
+  /// Times of crashes that other instances tell are this precise.
+  milliseconds timePrecision_{ 5 };
   /// How long a crash counts.
   seconds crashLifetime_{ 3600 };
   /// How long a request is kept of which no crash is known.
   seconds unansweredLifetime_{ 10 };
   /// Bounds of the memory: requests, and servers of one request.
   size_t maxRequests_ = 4096;
-  size_t maxServers_ = 16;
+  size_t maxServers_ = 128;
 };
 
 /// Finds requests that crash the backend servers that run them. A crash ends
@@ -60,8 +68,9 @@
 /// request is blamed only when several server processes have crashed under it,
 /// one of them although the request was sent after another crash under it, and
 /// no server has replied to it: the other requests get a reply when they are
-/// sent again. Used by entry instances and, with what these tell them, by
-/// control instances. Not thread safe.
+/// sent again. Crashes that it shares with a request under which more servers
+/// have crashed do not count. Used by entry instances and, with what these tell
+/// them, by control instances. Not thread safe.
 class CrashSuspects
 {
 public:
@@ -80,6 +89,10 @@
   /// Begins or extends a quarantine that another instance has found necessary.
   void OnQuarantine(const RequestQuarantine& aQuarantine, TimePoint aNow);
 
+  /// Extends the provisional quarantines of the requests that are still blamed.
+  /// Called by instances that all others tell of crashes.
+  void Review(TimePoint aNow);
+
   /// Applies what another instance tells.
   void Apply(const CrashNews& aNews, TimePoint aNow);
 
@@ -114,17 +127,26 @@
     TimePoint answeredAt_{};
     TimePoint quarantinedUntil_{};
     uint64_t quarantineRevision_ = 0;
+    /// Whether a provisional quarantine has begun, and when it is reviewed.
+    bool wasBlamed_ = false;
+    TimePoint reviewAt_ = TimePoint::max();
   };
 
   Record& RecordOf(RequestFingerprint aRequest, TimePoint aNow);
   void RemoveExpired(TimePoint aNow);
   bool IsBlamed(const Record& aRecord) const;
+  /// @return the number of server processes that crashed under the request, but
+  /// under none under which more have crashed.
+  size_t CountUnexplained(const Record& aRecord) const;
   void BeginQuarantine(Record& aRecord, TimePoint aUntil);
+  void ScheduleReview(Record& aRecord, TimePoint aNow);
 
   CrashSuspectsSettings settings_;
   std::unordered_map<RequestFingerprint, Record> records_;
   uint64_t revision_ = 0;
   TimePoint nextCleanupAt_{};
+  /// Earliest time of a review.
+  TimePoint nextReviewAt_ = TimePoint::max();
 };
 
 } // namespace foxtail
--- a/tests/policy/CrashSuspectsTest.cpp
+++ b/tests/policy/CrashSuspectsTest.cpp
@@ -114,6 +114,7 @@
 {
   CrashSuspectsSettings settings;
   settings.quarantine_ = seconds(10);
+  settings.provisional_ = seconds(10);
   CrashSuspects suspects(settings);
   Play(suspects,
        { { "a", milliseconds(0), milliseconds(50) },
@@ -181,3 +182,55 @@
     CHECK(detector.OnConnectRefused(kStart + milliseconds(60)).empty());
   }
 }
+
+TEST_CASE("a request that shares its crashes with a worse one is not blamed")
+{
+  const RequestFingerprint worse(2);
+  CrashSuspects suspects;
+  const auto crash =
+    [&](RequestFingerprint aRequest, int aServer, int aSentMs) {
+      const TimePoint sentAt = kStart + milliseconds(aSentMs);
+      suspects.OnCrash({ aRequest,
+                         BackendId(std::to_string(aServer)),
+                         7,
+                         sentAt,
+                         sentAt + milliseconds(50) },
+                       sentAt + milliseconds(60));
+    };
+  const auto isQuarantined = [&](RequestFingerprint aRequest, int aAtMs) {
+    return suspects.QuarantinedUntil(aRequest, kStart + milliseconds(aAtMs))
+      .has_value();
+  };
+  const auto crashWorse = [&] {
+    for (int server = 0; server < 6; ++server) {
+      crash(worse, server, server < 5 ? 0 : 50);
+    }
+  };
+  const auto crashVictim = [&] {
+    for (int server = 0; server < 4; ++server) {
+      crash(kRequest, server, server < 2 ? 0 : 50);
+    }
+  };
+  SUBCASE("known before")
+  {
+    crashWorse();
+    crashVictim();
+    CHECK_FALSE(isQuarantined(kRequest, 1000));
+  }
+  SUBCASE("known later, the quarantine is not extended")
+  {
+    crashVictim();
+    CHECK(isQuarantined(kRequest, 1000));
+    crashWorse();
+    suspects.Review(kStart + milliseconds(1000));
+    CHECK_FALSE(isQuarantined(kRequest, 5000));
+  }
+  CHECK(isQuarantined(worse, 1000));
+  suspects.Review(kStart + milliseconds(1500));
+  CHECK(isQuarantined(worse, 100000));
+  // Three servers that only this request crashes.
+  for (int server = 10; server < 13; ++server) {
+    crash(kRequest, server, 3000);
+  }
+  CHECK(isQuarantined(kRequest, 3100));
+}
