forward: confirm crashes at once, and do not blame requests for servers that were dead

What callers saw: the request that crashes servers came again within 0.2 s and crashed ten more before it was known; its own hedges crashed up to nine.

Cause: a crash was confirmed at the next tick of 50 ms.

Change: a refused connection is sought right after the events that came with the lost one. An attempt whose connection ended within a round trip has met a server that was dead already and counts as a repeat only when it was sent after the transit time between regions. A query that may crash servers is not hedged, and makes one more attempt after that time before it fails.

--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -414,7 +414,8 @@
           aCrash.server_,
           aCrash.serverStartedAtMs_,
           duration_cast<milliseconds>(now_ - aCrash.sentAt_),
-          duration_cast<milliseconds>(now_ - aCrash.endedAt_) });
+          duration_cast<milliseconds>(now_ - aCrash.endedAt_),
+          aCrash.hasReachedServer_ });
     }
     void operator()(const RequestAnswered& aAnswered) const
     {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -67,7 +67,7 @@
   size_t maxReportedServers_ = 64;
   /// News of crashes are collected for this long, as a server that crashes ends
   /// several requests.
-  milliseconds crashNewsDelay_{ 20 };
+  milliseconds crashNewsDelay_{ 5 };
   /// Largest number of such news in one report; later ones are dropped.
   size_t maxCrashNews_ = 256;
   /// Largest document, in bytes.
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -101,6 +101,7 @@
   if (aList == nullptr) {
     return quarantines;
   }
+  quarantines.reserve(aList->size());
   for (const wire::FeedQuarantine* row : *aList) {
     quarantines.push_back({ RequestFingerprint(row->request()),
                             milliseconds(row->remaining_ms()) });
@@ -122,7 +123,8 @@
                                          server,
                                          crash.serverStartedAtMs_,
                                          ToMilliseconds32(crash.sentAge_),
-                                         ToMilliseconds32(crash.endedAge_)));
+                                         ToMilliseconds32(crash.endedAge_),
+                                         crash.hasReachedServer_));
   }
   return aBuilder.CreateVector(rows);
 }
@@ -133,12 +135,14 @@
   if (aList == nullptr) {
     return crashes;
   }
+  crashes.reserve(aList->size());
   for (const wire::FeedCrash* row : *aList) {
     crashes.push_back({ RequestFingerprint(row->request()),
                         BackendId(row->server()->str()),
                         row->server_started_at_ms(),
                         milliseconds(row->sent_age_ms()),
-                        milliseconds(row->ended_age_ms()) });
+                        milliseconds(row->ended_age_ms()),
+                        row->has_reached_server() });
   }
   return crashes;
 }
@@ -150,6 +154,7 @@
   if (aList == nullptr) {
     return requests;
   }
+  requests.reserve(aList->size());
   for (const uint64_t request : *aList) {
     requests.emplace_back(request);
   }
@@ -172,6 +177,7 @@
   flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered;
   if (!aRequest.answered_.empty()) {
     std::vector<uint64_t> requests;
+    requests.reserve(aRequest.answered_.size());
     for (const RequestFingerprint request : aRequest.answered_) {
       requests.push_back(request.Value());
     }
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -35,6 +35,8 @@
   /// Time since the attempt was sent, and since its connection ended.
   milliseconds sentAge_{ 0 };
   milliseconds endedAge_{ 0 };
+  /// Whether the server was alive when the request reached it.
+  bool hasReachedServer_ = true;
 };
 
 /// A request that is not sent to backend servers for a while.
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -245,7 +245,8 @@
                              crash.server_,
                              crash.serverStartedAtMs_,
                              aNow - crash.sentAge_,
-                             aNow - crash.endedAge_ },
+                             aNow - crash.endedAge_,
+                             crash.hasReachedServer_ },
                            aNow);
   }
   for (const RequestFingerprint request : aRequest.answered_) {
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -120,7 +120,8 @@
     VT_SERVER = 6,
     VT_SERVER_STARTED_AT_MS = 8,
     VT_SENT_AGE_MS = 10,
-    VT_ENDED_AGE_MS = 12
+    VT_ENDED_AGE_MS = 12,
+    VT_HAS_REACHED_SERVER = 14
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -137,6 +138,9 @@
   uint32_t ended_age_ms() const {
     return GetField<uint32_t>(VT_ENDED_AGE_MS, 0);
   }
+  bool has_reached_server() const {
+    return GetField<uint8_t>(VT_HAS_REACHED_SERVER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -145,6 +149,7 @@
            VerifyField<uint64_t>(verifier, VT_SERVER_STARTED_AT_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_SENT_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENDED_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_REACHED_SERVER, 1) &&
            verifier.EndTable();
   }
 };
@@ -168,6 +173,9 @@
   void add_ended_age_ms(uint32_t ended_age_ms) {
     fbb_.AddElement<uint32_t>(FeedCrash::VT_ENDED_AGE_MS, ended_age_ms, 0);
   }
+  void add_has_reached_server(bool has_reached_server) {
+    fbb_.AddElement<uint8_t>(FeedCrash::VT_HAS_REACHED_SERVER, static_cast<uint8_t>(has_reached_server), 0);
+  }
   explicit FeedCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -186,13 +194,15 @@
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint64_t server_started_at_ms = 0,
     uint32_t sent_age_ms = 0,
-    uint32_t ended_age_ms = 0) {
+    uint32_t ended_age_ms = 0,
+    bool has_reached_server = false) {
   FeedCrashBuilder builder_(_fbb);
   builder_.add_server_started_at_ms(server_started_at_ms);
   builder_.add_request(request);
   builder_.add_ended_age_ms(ended_age_ms);
   builder_.add_sent_age_ms(sent_age_ms);
   builder_.add_server(server);
+  builder_.add_has_reached_server(has_reached_server);
   return builder_.Finish();
 }
 
@@ -202,7 +212,8 @@
     const char *server = nullptr,
     uint64_t server_started_at_ms = 0,
     uint32_t sent_age_ms = 0,
-    uint32_t ended_age_ms = 0) {
+    uint32_t ended_age_ms = 0,
+    bool has_reached_server = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return foxtail::wire::CreateFeedCrash(
       _fbb,
@@ -210,7 +221,8 @@
       server__,
       server_started_at_ms,
       sent_age_ms,
-      ended_age_ms);
+      ended_age_ms,
+      has_reached_server);
 }
 
 struct FeedQuarantine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "policy/AnswerTiming.h"
 #include "policy/BusyServersBackoff.h"
+#include "policy/CrashSuspects.h"
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
@@ -78,6 +79,9 @@
   /// closed. Closing makes the backend server drop the work but costs a new
   /// connection.
   milliseconds abandonGrace_{ 0 };
+  /// After servers have crashed together, connections to some of them seem to
+  /// be open for this long: the transit time between regions.
+  milliseconds crashTransitTime_ = CrashSuspectsSettings{}.transitTime_;
   /// Time limit of a request that states none.
   milliseconds defaultDeadline_{ 30000 };
   /// Retry-After of a refusal for which there is no better estimate.
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -80,7 +80,10 @@
     return;
   }
   hasReply_ = hasReply_ || aExchange.outcome_ == ExchangeOutcome::Answered;
-  unanswered_ += aExchange.IsUnanswered() ? 1 : 0;
+  if (aExchange.IsUnanswered()) {
+    firstUnansweredAt_ = std::min(firstUnansweredAt_, aNow);
+    ++unanswered_;
+  }
   const bool isPart = aExchange.outcome_ == ExchangeOutcome::Answered &&
                       aExchange.reply_.IsSuccess();
   if (isPart) {
@@ -131,7 +134,21 @@
       return !aAttempts.outstanding_.empty() ||
              aAttempts.sendAt_ != TimePoint::max();
     });
-  if (!isWaiting) {
+  if (isWaiting) {
+    return;
+  }
+  // The retries so far may have met servers that had crashed together with the
+  // first ones, on connections whose ends had not arrived yet.
+  const TimePoint probeAt =
+    firstUnansweredAt_ + context_.settings_.crashTransitTime_;
+  if (!hasProbed_ && aNow < probeAt) {
+    probeAt_ = probeAt;
+  } else if (!std::exchange(hasProbed_, true)) {
+    const uint32_t shard = heldRetries_.back();
+    heldRetries_.pop_back();
+    RetryShard(shard, aNow);
+    DecideHeldRetries(aNow);
+  } else {
     Finish(FailureAnswer(std::to_string(unanswered_) +
                            " backend servers ended the connection without a "
                            "reply and none replied",
@@ -157,9 +174,19 @@
   if (IsDone()) {
     return;
   }
+  if (aNow >= probeAt_) {
+    probeAt_ = TimePoint::max();
+    DecideHeldRetries(aNow);
+    if (IsDone()) {
+      return;
+    }
+  }
   const bool isRequired = NeedsMoreParts();
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
     PreconnectIfDue(attempts_[i], aNow);
+    if (MayCrashServers()) {
+      attempts_[i].hedgeAt_ = TimePoint::max();
+    }
     HedgeIfDue(attempts_[i], i, isRequired, aNow);
     if (!SendIfDue(attempts_[i], i, aNow)) {
       SetPartState(i, PartState::Missing, aNow);
@@ -172,7 +199,8 @@
 
 TimePoint GatherRequestHandler::NextTimerAt(TimePoint aNow) const
 {
-  TimePoint next = NextGatherEvaluation(Progress(aNow), aNow);
+  TimePoint next =
+    std::min(NextGatherEvaluation(Progress(aNow), aNow), probeAt_);
   for (const ServiceAttempts& attempts : attempts_) {
     next = std::min(
       { next, attempts.preconnectAt_, attempts.hedgeAt_, attempts.sendAt_ });
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -75,8 +75,13 @@
   /// Shards whose retry waits for the first reply of any server.
   std::vector<uint32_t> heldRetries_;
   bool hasReply_ = false;
-  /// Attempts whose connection ended without a reply.
+  /// Attempts whose connection ended without a reply, and the first such end.
   uint32_t unanswered_ = 0;
+  TimePoint firstUnansweredAt_ = TimePoint::max();
+  /// When one held retry is sent although no server has replied, and whether it
+  /// was.
+  TimePoint probeAt_ = TimePoint::max();
+  bool hasProbed_ = false;
   uint32_t included_ = 0;
   uint32_t missing_ = 0;
 };
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -394,7 +394,18 @@
   if (aExchange.IsUnanswered()) {
     const RequestFingerprint request = aExchange.request_->fingerprint_;
     shared_.crashes_.OnUnanswered(request, aNow);
-    crashDetector_.OnUnanswered({ request, aExchange.sentAt_, aNow }, aNow);
+    constexpr milliseconds kSchedulingMargin{ 5 };
+    const bool hasReachedServer =
+      aNow - aExchange.sentAt_ >= roundTrip_ + kSchedulingMargin;
+    crashDetector_.OnUnanswered(
+      { request, aExchange.sentAt_, aNow, hasReachedServer }, aNow);
+    // After the events that have arrived with this one, among them the ends of
+    // the idle connections if the server has crashed.
+    boost::asio::post(context_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->CheckForCrash(Now());
+      }
+    });
   }
   if (aExchange.fault_ == ExchangeFault::ResetOnConnect) {
     RecordConnectFailure(aNow);
@@ -457,12 +468,13 @@
   if (!crashDetector_.IsUndecided(aNow) || isRetired_ || connecting_ > 0) {
     return;
   }
-  if (!idleConnections_.empty()) {
-    // A crash ends the idle connections too, and their ends have arrived by
-    // now.
+  if (idleConnections_.empty()) {
+    if (connections_.size() < maxConnections_) {
+      OpenConnection(aNow);
+    }
+  } else if (crashDetector_.IsSettled(aNow)) {
+    // A crash would have ended the idle connections too.
     crashDetector_.OnAlive();
-  } else if (connections_.size() < maxConnections_) {
-    OpenConnection(aNow);
   }
 }
 
@@ -475,7 +487,8 @@
                         announcement_.id_,
                         announcement_.startedAtMs_,
                         request.sentAt_,
-                        request.endedAt_ });
+                        request.endedAt_,
+                        request.hasReachedServer_ });
   }
   shared_.crashes_.OnCrash(crashes, aNow);
 }
--- a/src/policy/CrashDetector.cpp
+++ b/src/policy/CrashDetector.cpp
@@ -42,9 +42,8 @@
 
 bool CrashDetector::IsUndecided(TimePoint aNow) const
 {
-  const Duration age = aNow - lastUnansweredAt_;
-  return !requests_.empty() && age >= settings_.settleTime_ &&
-         age <= settings_.confirmWithin_;
+  return !requests_.empty() &&
+         aNow - lastUnansweredAt_ <= settings_.confirmWithin_;
 }
 
 } // namespace foxtail
--- a/src/policy/CrashDetector.h
+++ b/src/policy/CrashDetector.h
@@ -35,6 +35,9 @@
   RequestFingerprint request_;
   TimePoint sentAt_{};
   TimePoint endedAt_{};
+  /// Whether the server was alive when the request reached it: one that is not
+  /// ends the connection within a round trip.
+  bool hasReachedServer_ = true;
 };
 
 /// Tells a crash of a backend server from a connection that was lost: after a
@@ -49,8 +52,14 @@
   void OnAlive() { requests_.clear(); }
   /// @return the requests under which the server crashed.
   std::vector<UnansweredRequest> OnConnectRefused(TimePoint aNow);
-  /// @return whether a connection attempt would show now if the server crashed.
+  /// @return whether a connection attempt would show if the server crashed.
   bool IsUndecided(TimePoint aNow) const;
+  /// @return whether the ends of the server's other connections have arrived if
+  /// it crashed.
+  bool IsSettled(TimePoint aNow) const
+  {
+    return aNow - lastUnansweredAt_ >= settings_.settleTime_;
+  }
 
 private:
   CrashDetectorSettings settings_;
--- a/src/policy/CrashSuspects.cpp
+++ b/src/policy/CrashSuspects.cpp
@@ -29,7 +29,10 @@
     record.crashed_.push_back(server);
   }
   record.firstEndedAt_ = std::min(record.firstEndedAt_, aCrash.endedAt_);
-  record.lastSentAt_ = std::max(record.lastSentAt_, aCrash.sentAt_);
+  const TimePoint aliveAt = aCrash.hasReachedServer_
+                              ? aCrash.sentAt_
+                              : aCrash.sentAt_ - settings_.transitTime_;
+  record.lastSentAt_ = std::max(record.lastSentAt_, aliveAt);
   if (record.quarantinedUntil_ <= aNow && IsBlamed(record)) {
     const Duration duration = record.wasBlamed_
                                 ? Duration(settings_.quarantine_)
--- a/src/policy/CrashSuspects.h
+++ b/src/policy/CrashSuspects.h
@@ -21,6 +21,8 @@
   TimePoint sentAt_{};
   /// When the request's connection ended.
   TimePoint endedAt_{};
+  /// Whether the server was alive when the request reached it.
+  bool hasReachedServer_ = true;
 };
 
 /// A backend server replied to a request that was under suspicion.
@@ -52,6 +54,9 @@
   milliseconds provisional_{ 2000 };
   /// Time from the begin of a provisional quarantine to its review.
   milliseconds reviewAfter_{ 500 };
+  /// After servers have crashed together, connections to some of them seem to
+  /// be open for this long: the transit time between regions.
+  milliseconds transitTime_{ 25 };
   /// Times of crashes that other instances tell are this precise.
   milliseconds timePrecision_{ 5 };
   /// How long a crash counts.
@@ -119,8 +124,8 @@
   {
     /// Server processes that crashed under the request.
     std::vector<ServerProcess> crashed_;
-    /// End of the first attempt under which a server crashed, and the start of
-    /// the latest one.
+    /// End of the first attempt under which a server crashed, and when the
+    /// latest one was sent to a server that was alive.
     TimePoint firstEndedAt_ = TimePoint::max();
     TimePoint lastSentAt_{};
     TimePoint lastEventAt_{};
--- a/tests/policy/CrashSuspectsTest.cpp
+++ b/tests/policy/CrashSuspectsTest.cpp
@@ -18,6 +18,7 @@
   milliseconds endedAt_;
   /// Whether the server replied; else it crashed.
   bool isAnswered_ = false;
+  bool hasReachedServer_ = true;
 };
 
 RequestCrash CrashOf(const Attempt& aAttempt)
@@ -26,7 +27,8 @@
            BackendId(aAttempt.server_),
            7,
            kStart + aAttempt.sentAt_,
-           kStart + aAttempt.endedAt_ };
+           kStart + aAttempt.endedAt_,
+           aAttempt.hasReachedServer_ };
 }
 
 void Play(CrashSuspects& aSuspects, const std::vector<Attempt>& aAttempts)
@@ -75,6 +77,13 @@
         { "c", at(0), at(50) },
         { "d", at(50), at(99) } },
       true },
+    { "the same, and retries to servers that had crashed too",
+      { { "a", at(0), at(50) },
+        { "b", at(0), at(50) },
+        { "c", at(0), at(50) },
+        { "d", at(50), at(50), false, false },
+        { "e", at(52), at(71), false, false } },
+      false },
     { "the same, and a retry that is replied to",
       { { "a", at(0), at(50) },
         { "b", at(0), at(50) },
