policy: probe suspects, and do not suspect what a server has replied to

Cause: a request was either sent to all shards or refused, and the latter had to wait for proof. Replies that came before the first crash were forgotten.

Change: a request under which three servers have crashed is probed for 2 s, at all instances: a query goes to one shard, and to the others when that one has replied. Proof (a crash under a later attempt) is still needed to refuse it. A request that any server has replied to is no suspect.

--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -425,7 +425,8 @@
     {
       request_.quarantines_.push_back(
         { aQuarantine.request_,
-          duration_cast<milliseconds>(aQuarantine.until_ - now_) });
+          duration_cast<milliseconds>(aQuarantine.until_ - now_),
+          aQuarantine.treatment_ });
     }
   };
   asio::steady_timer timer(context_, settings_.crashNewsDelay_);
@@ -455,8 +456,9 @@
   std::vector<RequestQuarantine> quarantines;
   quarantines.reserve(aReply.quarantines_.size());
   for (const FeedQuarantine& quarantine : aReply.quarantines_) {
-    quarantines.push_back(
-      { quarantine.request_, aNow + quarantine.remaining_ });
+    quarantines.push_back({ quarantine.request_,
+                            aNow + quarantine.remaining_,
+                            quarantine.treatment_ });
   }
   listener_.OnFeedQuarantines(quarantines, aNow);
 }
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -91,7 +91,7 @@
                              TimePoint aNow) = 0;
   /// Called with servers that several entry instances found slow.
   virtual void OnFeedSlowServers(const std::vector<SlowServer>& aServers) = 0;
-  /// Called with requests that are not to be sent to backend servers.
+  /// Called with requests that may crash backend servers.
   virtual void OnFeedQuarantines(
     const std::vector<RequestQuarantine>& aQuarantines,
     TimePoint aNow) = 0;
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -87,10 +87,11 @@
   std::vector<flatbuffers::Offset<wire::FeedQuarantine>> rows;
   rows.reserve(aQuarantines.size());
   for (const FeedQuarantine& quarantine : aQuarantines) {
-    rows.push_back(
-      wire::CreateFeedQuarantine(aBuilder,
-                                 quarantine.request_.Value(),
-                                 ToMilliseconds32(quarantine.remaining_)));
+    rows.push_back(wire::CreateFeedQuarantine(
+      aBuilder,
+      quarantine.request_.Value(),
+      ToMilliseconds32(quarantine.remaining_),
+      quarantine.treatment_ == SuspectTreatment::Refuse));
   }
   return aBuilder.CreateVector(rows);
 }
@@ -104,7 +105,9 @@
   quarantines.reserve(aList->size());
   for (const wire::FeedQuarantine* row : *aList) {
     quarantines.push_back({ RequestFingerprint(row->request()),
-                            milliseconds(row->remaining_ms()) });
+                            milliseconds(row->remaining_ms()),
+                            row->is_refused() ? SuspectTreatment::Refuse
+                                              : SuspectTreatment::Probe });
   }
   return quarantines;
 }
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -2,7 +2,7 @@
 #define FEED_FEEDMESSAGES_H
 
 #include "core/Ids.h"
-#include "policy/CrashDetector.h"
+#include "policy/CrashSuspects.h"
 #include "policy/ServerDirectory.h"
 
 #include <absl/status/statusor.h>
@@ -39,11 +39,12 @@
   bool hasReachedServer_ = true;
 };
 
-/// A request that is not sent to backend servers for a while.
+/// A request that may crash backend servers, and how long it is treated so.
 struct FeedQuarantine
 {
   RequestFingerprint request_;
   milliseconds remaining_{ 0 };
+  SuspectTreatment treatment_ = SuspectTreatment::Refuse;
 };
 
 /// Long-poll request for updates.
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -253,8 +253,10 @@
     crashSuspects_.OnAnswered(request, aNow);
   }
   for (const FeedQuarantine& quarantine : aRequest.quarantines_) {
-    crashSuspects_.OnQuarantine(
-      { quarantine.request_, aNow + quarantine.remaining_ }, aNow);
+    crashSuspects_.OnQuarantine({ quarantine.request_,
+                                  aNow + quarantine.remaining_,
+                                  quarantine.treatment_ },
+                                aNow);
   }
   crashSuspects_.Review(aNow);
   if (crashSuspects_.Revision() == before) {
@@ -264,6 +266,7 @@
        crashSuspects_.QuarantinedSince(before, aNow)) {
     LogLine(LogLevel::Warning, "request_quarantined")
       .Add("fingerprint", ToHex(quarantine.request_))
+      .Add("treatment", NameOf(quarantine.treatment_))
       .Add("for_ms", ToMilliseconds(quarantine.until_ - aNow));
   }
   CompletePolls();
@@ -346,7 +349,8 @@
          crashSuspects_.QuarantinedSince(known, aNow)) {
       reply.quarantines_.push_back(
         { quarantine.request_,
-          duration_cast<milliseconds>(quarantine.until_ - aNow) });
+          duration_cast<milliseconds>(quarantine.until_ - aNow),
+          quarantine.treatment_ });
     }
     reply.quarantineRevision_ = crashSuspects_.Revision();
   }
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -229,7 +229,8 @@
   typedef FeedQuarantineBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
-    VT_REMAINING_MS = 6
+    VT_REMAINING_MS = 6,
+    VT_IS_REFUSED = 8
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -237,10 +238,14 @@
   uint32_t remaining_ms() const {
     return GetField<uint32_t>(VT_REMAINING_MS, 0);
   }
+  bool is_refused() const {
+    return GetField<uint8_t>(VT_IS_REFUSED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REFUSED, 1) &&
            verifier.EndTable();
   }
 };
@@ -255,6 +260,9 @@
   void add_remaining_ms(uint32_t remaining_ms) {
     fbb_.AddElement<uint32_t>(FeedQuarantine::VT_REMAINING_MS, remaining_ms, 0);
   }
+  void add_is_refused(bool is_refused) {
+    fbb_.AddElement<uint8_t>(FeedQuarantine::VT_IS_REFUSED, static_cast<uint8_t>(is_refused), 0);
+  }
   explicit FeedQuarantineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -269,10 +277,12 @@
 inline flatbuffers::Offset<FeedQuarantine> CreateFeedQuarantine(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t request = 0,
-    uint32_t remaining_ms = 0) {
+    uint32_t remaining_ms = 0,
+    bool is_refused = false) {
   FeedQuarantineBuilder builder_(_fbb);
   builder_.add_request(request);
   builder_.add_remaining_ms(remaining_ms);
+  builder_.add_is_refused(is_refused);
   return builder_.Finish();
 }
 
--- a/src/forward/CrashMonitor.cpp
+++ b/src/forward/CrashMonitor.cpp
@@ -10,9 +10,9 @@
 CrashMonitor::CrashMonitor(Metrics& aMetrics)
   : crashes_(aMetrics.Counter("foxtail_forward_server_crashes_total",
                               "Backend servers that crashed under requests"))
-  , quarantines_(
-      aMetrics.Counter("foxtail_forward_quarantines_total",
-                       "Requests quarantined because servers crash under them"))
+  , quarantines_(aMetrics.Counter(
+      "foxtail_forward_quarantines_total",
+      "Requests refused from now on as servers crash under them"))
 {
 }
 
@@ -73,9 +73,11 @@
 {
   auto quarantines = suspects_.QuarantinedSince(aRevision, aNow);
   for (const RequestQuarantine& quarantine : quarantines) {
-    quarantines_.Increment();
+    const bool isRefused = quarantine.treatment_ == SuspectTreatment::Refuse;
+    quarantines_.Increment(isRefused ? 1 : 0);
     LogLine(LogLevel::Warning, "request_quarantined")
       .Add("fingerprint", ToHex(quarantine.request_))
+      .Add("treatment", NameOf(quarantine.treatment_))
       .Add("found_by", aFoundBy)
       .Add("for_ms", ToMilliseconds(quarantine.until_ - aNow));
   }
--- a/src/forward/CrashMonitor.h
+++ b/src/forward/CrashMonitor.h
@@ -11,7 +11,7 @@
 
 class Metrics;
 
-/// Which requests this instance does not send, as they crash backend servers:
+/// Which requests this instance probes or refuses, as they may crash servers:
 /// CrashSuspects with its log lines and metrics, and the news that other
 /// instances need. Not thread-safe.
 class CrashMonitor
@@ -42,12 +42,11 @@
   {
     return suspects_.QuarantinedSince(0, aNow);
   }
-  /// @return the end of the request's quarantine, or nothing when it may be
-  /// sent.
-  std::optional<TimePoint> QuarantinedUntil(RequestFingerprint aRequest,
-                                            TimePoint aNow) const
+  /// @return how the request is treated, or nothing when it is sent as usual.
+  std::optional<RequestQuarantine> Find(RequestFingerprint aRequest,
+                                        TimePoint aNow) const
   {
-    return suspects_.QuarantinedUntil(aRequest, aNow);
+    return suspects_.Find(aRequest, aNow);
   }
 
 private:
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -28,6 +28,9 @@
   /// Credentials of the caller, also among headers_; empty if there are none.
   std::string credentials_;
   RequestFingerprint fingerprint_;
+  /// Whether a backend server has replied to an attempt, so that the request is
+  /// no cause of crashes. Set by the connections that the attempts are sent on.
+  mutable bool hasReply_ = false;
   bool hasBody_ = false;
   bool isHead_ = false;
   TimePoint startedAt_{};
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -277,9 +277,9 @@
       "no route matches this host and path; check the document"));
     return nullptr;
   }
-  if (const auto until =
-        pools_.Crashes().QuarantinedUntil(aRequest.fingerprint_, aNow)) {
-    RefuseQuarantined(aRequest, *until, aOnComplete, aNow);
+  const auto quarantine = pools_.Crashes().Find(aRequest.fingerprint_, aNow);
+  if (quarantine && quarantine->treatment_ == SuspectTreatment::Refuse) {
+    RefuseQuarantined(aRequest, quarantine->until_, aOnComplete, aNow);
     return nullptr;
   }
   auto request = std::make_shared<const ForwardRequest>(std::move(aRequest));
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -63,8 +63,12 @@
            aNow);
     return;
   }
+  isSuspect_ = Treatment(aNow).has_value();
+  hasProbed_ = isSuspect_;
   for (uint32_t i = 0; i < shards; ++i) {
-    if (!TrySend(attempts_[i], i, latestSendAt, aNow)) {
+    if (isSuspect_ && i > 0) {
+      heldShards_.push_back(i);
+    } else if (!TrySend(attempts_[i], i, latestSendAt, aNow)) {
       parts_[i].state_ = PartState::Missing;
       ++missing_;
     }
@@ -79,7 +83,6 @@
       parts_[shard].state_ != PartState::Pending) {
     return;
   }
-  hasReply_ = hasReply_ || aExchange.outcome_ == ExchangeOutcome::Answered;
   if (aExchange.IsUnanswered()) {
     firstUnansweredAt_ = std::min(firstUnansweredAt_, aNow);
     ++unanswered_;
@@ -92,21 +95,24 @@
     SetPartState(shard, PartState::Included, aNow);
   } else if (attempts_[shard].outstanding_.empty()) {
     if (MayCrashServers()) {
-      heldRetries_.push_back(shard);
+      heldShards_.push_back(shard);
     } else {
-      RetryShard(shard, aNow);
+      SendToShard(shard, aNow);
     }
   }
-  DecideHeldRetries(aNow);
+  DecideHeldShards(aNow);
   if (!IsDone()) {
     ScheduleTimer(aNow);
   }
 }
 
-void GatherRequestHandler::RetryShard(uint32_t aShard, TimePoint aNow)
+void GatherRequestHandler::SendToShard(uint32_t aShard, TimePoint aNow)
 {
   ServiceAttempts& attempts = attempts_[aShard];
-  if (TryRetry(attempts, aShard, NeedsMoreParts(), aNow)) {
+  const bool isSent = attempts.sendCount_ == 0
+                        ? TrySend(attempts, aShard, LatestSendAt(aNow), aNow)
+                        : TryRetry(attempts, aShard, NeedsMoreParts(), aNow);
+  if (isSent) {
     return;
   }
   if (TryReturnLater(attempts, aNow)) {
@@ -116,15 +122,15 @@
   }
 }
 
-void GatherRequestHandler::DecideHeldRetries(TimePoint aNow)
+void GatherRequestHandler::DecideHeldShards(TimePoint aNow)
 {
-  if (IsDone() || heldRetries_.empty()) {
+  if (IsDone() || heldShards_.empty()) {
     return;
   }
   if (!MayCrashServers()) {
-    for (const uint32_t shard : std::exchange(heldRetries_, {})) {
+    for (const uint32_t shard : std::exchange(heldShards_, {})) {
       if (!IsDone()) {
-        RetryShard(shard, aNow);
+        SendToShard(shard, aNow);
       }
     }
     return;
@@ -144,10 +150,10 @@
   if (!hasProbed_ && aNow < probeAt) {
     probeAt_ = probeAt;
   } else if (!std::exchange(hasProbed_, true)) {
-    const uint32_t shard = heldRetries_.back();
-    heldRetries_.pop_back();
-    RetryShard(shard, aNow);
-    DecideHeldRetries(aNow);
+    const uint32_t shard = heldShards_.back();
+    heldShards_.pop_back();
+    SendToShard(shard, aNow);
+    DecideHeldShards(aNow);
   } else {
     Finish(FailureAnswer(std::to_string(unanswered_) +
                            " backend servers ended the connection without a "
@@ -176,7 +182,7 @@
   }
   if (aNow >= probeAt_) {
     probeAt_ = TimePoint::max();
-    DecideHeldRetries(aNow);
+    DecideHeldShards(aNow);
     if (IsDone()) {
       return;
     }
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -46,14 +46,15 @@
   /// have ended a connection without a reply, and none has replied.
   bool MayCrashServers() const
   {
-    return !hasReply_ && unanswered_ > kMaxUnansweredRetried;
+    return !Request().hasReply_ &&
+           (isSuspect_ || unanswered_ > kMaxUnansweredRetried);
   }
   /// Sends the query to another server of a shard after an attempt has failed,
   /// now or later, or gives the shard up.
-  void RetryShard(uint32_t aShard, TimePoint aNow);
+  void SendToShard(uint32_t aShard, TimePoint aNow);
   /// Sends the held retries once a server has replied, or fails the query when
   /// no attempt is left that could be replied to.
-  void DecideHeldRetries(TimePoint aNow);
+  void DecideHeldShards(TimePoint aNow);
   void SetPartState(uint32_t aShard, PartState aState, TimePoint aNow);
   void EvaluateProgress(TimePoint aNow);
   GatherProgress Progress(TimePoint aNow) const;
@@ -72,9 +73,11 @@
   /// One element per shard, in the order of GatherTarget::shards_.
   std::vector<ServiceAttempts> attempts_;
   std::vector<Part> parts_;
-  /// Shards whose retry waits for the first reply of any server.
-  std::vector<uint32_t> heldRetries_;
-  bool hasReply_ = false;
+  /// Whether the query is sent to one shard until a server replies, as servers
+  /// have crashed under it before.
+  bool isSuspect_ = false;
+  /// Shards whose next attempt waits for the first reply of any server.
+  std::vector<uint32_t> heldShards_;
   /// Attempts whose connection ended without a reply, and the first such end.
   uint32_t unanswered_ = 0;
   TimePoint firstUnansweredAt_ = TimePoint::max();
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -220,11 +220,11 @@
   }
 }
 
-bool RequestHandler::IsQuarantined(TimePoint aNow) const
+std::optional<SuspectTreatment> RequestHandler::Treatment(TimePoint aNow) const
 {
-  return context_.pools_.Crashes()
-    .QuarantinedUntil(request_->fingerprint_, aNow)
-    .has_value();
+  const auto quarantine =
+    context_.pools_.Crashes().Find(request_->fingerprint_, aNow);
+  return quarantine ? std::optional(quarantine->treatment_) : std::nullopt;
 }
 
 double RequestHandler::BudgetReserve(bool aIsRequired) const
@@ -244,7 +244,7 @@
   aAttempts.hedgeAt_ = TimePoint::max();
   if (aAttempts.countedAttempts_ + aAttempts.outstanding_.size() >=
         route_.maxAttempts_ ||
-      IsQuarantined(aNow)) {
+      Treatment(aNow).has_value()) {
     return;
   }
   if (!context_.budgetOf_(aAttempts.service_)
@@ -268,7 +268,8 @@
      aAttempts.countedAttempts_ + aAttempts.outstanding_.size() <
        route_.maxAttempts_);
   if (!isAllowed || aAttempts.sendCount_ >= kMaxSendsPerService ||
-      aNow >= responseDeadline_ || IsQuarantined(aNow)) {
+      aNow >= responseDeadline_ ||
+      Treatment(aNow) == SuspectTreatment::Refuse) {
     return false;
   }
   // An attempt that was not written, or whose new connection was reset at once,
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -159,6 +159,8 @@
   /// @return the latest time at which an attempt can be sent and its reply
   /// usually arrives within the route's objective; at least @p aNow.
   TimePoint LatestSendAt(TimePoint aNow) const;
+  /// @return how the request is treated if it may crash servers.
+  std::optional<SuspectTreatment> Treatment(TimePoint aNow) const;
   /// Opens a connection in advance for a likely hedge once preconnectAt_ is
   /// reached, so that the hedge does not wait for a connect.
   void PreconnectIfDue(ServiceAttempts& aAttempts, TimePoint aNow);
@@ -247,9 +249,6 @@
   /// @return the share of the budget, 0 to 1, that such an extra attempt must
   /// leave unused.
   double BudgetReserve(bool aIsRequired) const;
-  /// @return whether the request must not be sent to another server, as it
-  /// crashes them.
-  bool IsQuarantined(TimePoint aNow) const;
 
   CompletionCallback onComplete_;
   bool isDone_ = false;
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -389,9 +389,10 @@
     return;
   }
   if (aExchange.outcome_ == ExchangeOutcome::Answered) {
+    aExchange.request_->hasReply_ = true;
     shared_.crashes_.OnAnswered(aExchange.request_->fingerprint_, aNow);
   }
-  if (aExchange.IsUnanswered()) {
+  if (aExchange.IsUnanswered() && !aExchange.request_->hasReply_) {
     const RequestFingerprint request = aExchange.request_->fingerprint_;
     shared_.crashes_.OnUnanswered(request, aNow);
     constexpr milliseconds kSchedulingMargin{ 5 };
--- a/src/policy/CrashSuspects.cpp
+++ b/src/policy/CrashSuspects.cpp
@@ -33,16 +33,34 @@
                               ? aCrash.sentAt_
                               : aCrash.sentAt_ - settings_.transitTime_;
   record.lastSentAt_ = std::max(record.lastSentAt_, aliveAt);
-  if (record.quarantinedUntil_ <= aNow && IsBlamed(record)) {
-    const Duration duration = record.wasBlamed_
-                                ? Duration(settings_.quarantine_)
-                                : Duration(settings_.provisional_);
-    BeginQuarantine(record, aNow + duration);
-    ScheduleReview(record, aNow);
+  if (record.refusedUntil_ > aNow || !IsSuspected(record)) {
+    return true;
+  }
+  if (IsBlamed(record)) {
+    Blame(record, aNow);
+  } else {
+    Probe(record, aNow + settings_.provisional_);
   }
   return true;
 }
 
+void CrashSuspects::Blame(Record& aRecord, TimePoint aNow)
+{
+  const bool isFirst = aRecord.blamedAt_ == TimePoint::max();
+  Refuse(aRecord,
+         aNow + (isFirst ? Duration(settings_.provisional_)
+                         : Duration(settings_.refusal_)));
+  ScheduleReview(aRecord, aNow);
+}
+
+void CrashSuspects::ScheduleReview(Record& aRecord, TimePoint aNow)
+{
+  aRecord.blamedAt_ = std::min(aRecord.blamedAt_, aNow);
+  aRecord.reviewAt_ =
+    std::min(aRecord.reviewAt_, aNow + settings_.reviewAfter_);
+  nextReviewAt_ = std::min(nextReviewAt_, aRecord.reviewAt_);
+}
+
 bool CrashSuspects::OnAnswered(RequestFingerprint aRequest, TimePoint aNow)
 {
   const auto found = records_.find(aRequest);
@@ -55,23 +73,27 @@
   record.crashed_.clear();
   record.firstEndedAt_ = TimePoint::max();
   record.lastSentAt_ = TimePoint{};
-  record.wasBlamed_ = false;
+  record.blamedAt_ = TimePoint::max();
+  record.reviewAt_ = TimePoint::max();
+  record.probedUntil_ = TimePoint{};
   return wasSuspected;
 }
 
 void CrashSuspects::OnQuarantine(const RequestQuarantine& aQuarantine,
                                  TimePoint aNow)
 {
-  // Bounds the effect of a wrong time.
-  const TimePoint until =
-    std::min(aQuarantine.until_, aNow + settings_.quarantine_);
   Record& record = RecordOf(aQuarantine.request_, aNow);
   record.lastEventAt_ = aNow;
-  // Transit times make the same quarantine end a little later each time.
-  constexpr seconds kMinExtension{ 5 };
-  if (until > record.quarantinedUntil_ + kMinExtension) {
-    BeginQuarantine(record, until);
-    ScheduleReview(record, aNow);
+  // Bounds the effect of a wrong time.
+  switch (aQuarantine.treatment_) {
+    case SuspectTreatment::Probe:
+      Probe(record,
+            std::min(aQuarantine.until_, aNow + settings_.provisional_));
+      break;
+    case SuspectTreatment::Refuse:
+      Refuse(record, std::min(aQuarantine.until_, aNow + settings_.refusal_));
+      ScheduleReview(record, aNow);
+      break;
   }
 }
 
@@ -87,21 +109,12 @@
       continue;
     }
     record.reviewAt_ = TimePoint::max();
-    const TimePoint until = aNow + settings_.quarantine_;
-    if (IsBlamed(record) &&
-        record.quarantinedUntil_ < until - settings_.provisional_) {
-      BeginQuarantine(record, until);
+    if (IsBlamed(record)) {
+      Refuse(record, aNow + settings_.refusal_);
     }
   }
 }
 
-void CrashSuspects::ScheduleReview(Record& aRecord, TimePoint aNow)
-{
-  aRecord.wasBlamed_ = true;
-  aRecord.reviewAt_ = aNow + settings_.reviewAfter_;
-  nextReviewAt_ = std::min(nextReviewAt_, aRecord.reviewAt_);
-}
-
 void CrashSuspects::Apply(const CrashNews& aNews, TimePoint aNow)
 {
   struct Visitor
@@ -125,14 +138,26 @@
   std::visit(Visitor{ *this, aNow }, aNews);
 }
 
-std::optional<TimePoint> CrashSuspects::QuarantinedUntil(
+std::optional<RequestQuarantine> CrashSuspects::Find(
   RequestFingerprint aRequest,
   TimePoint aNow) const
 {
   const auto found = records_.find(aRequest);
-  return found == records_.end() || found->second.quarantinedUntil_ <= aNow
-           ? std::nullopt
-           : std::optional(found->second.quarantinedUntil_);
+  if (found == records_.end()) {
+    return std::nullopt;
+  }
+  const Record& record = found->second;
+  if (record.refusedUntil_ > aNow) {
+    return RequestQuarantine{ aRequest,
+                              record.refusedUntil_,
+                              SuspectTreatment::Refuse };
+  }
+  if (record.probedUntil_ > aNow) {
+    return RequestQuarantine{ aRequest,
+                              record.probedUntil_,
+                              SuspectTreatment::Probe };
+  }
+  return std::nullopt;
 }
 
 std::vector<RequestQuarantine> CrashSuspects::QuarantinedSince(
@@ -141,9 +166,10 @@
 {
   std::vector<RequestQuarantine> quarantines;
   for (const auto& [request, record] : records_) {
-    if (record.quarantineRevision_ > aRevision &&
-        record.quarantinedUntil_ > aNow) {
-      quarantines.push_back({ request, record.quarantinedUntil_ });
+    const auto quarantine =
+      record.revision_ > aRevision ? Find(request, aNow) : std::nullopt;
+    if (quarantine) {
+      quarantines.push_back(*quarantine);
     }
   }
   return quarantines;
@@ -168,7 +194,7 @@
     const Duration lifetime = record.crashed_.empty()
                                 ? settings_.unansweredLifetime_
                                 : settings_.crashLifetime_;
-    return record.quarantinedUntil_ <= aNow &&
+    return record.refusedUntil_ <= aNow &&
            aNow - record.lastEventAt_ > lifetime;
   });
   if (records_.size() >= settings_.maxRequests_) {
@@ -177,23 +203,28 @@
       std::min_element(records_.begin(),
                        records_.end(),
                        [](const auto& aLeft, const auto& aRight) {
-                         return std::pair(aLeft.second.quarantinedUntil_,
+                         return std::pair(aLeft.second.refusedUntil_,
                                           aLeft.second.lastEventAt_) <
-                                std::pair(aRight.second.quarantinedUntil_,
+                                std::pair(aRight.second.refusedUntil_,
                                           aRight.second.lastEventAt_);
                        });
     records_.erase(oldest);
   }
 }
 
-bool CrashSuspects::IsBlamed(const Record& aRecord) const
+bool CrashSuspects::IsSuspected(const Record& aRecord) const
 {
   return aRecord.crashed_.size() >= settings_.minServers_ &&
-         aRecord.lastSentAt_ >=
-           aRecord.firstEndedAt_ - settings_.timePrecision_ &&
          CountUnexplained(aRecord) >= settings_.minServers_;
 }
 
+bool CrashSuspects::IsBlamed(const Record& aRecord) const
+{
+  return aRecord.lastSentAt_ >=
+           aRecord.firstEndedAt_ - settings_.timePrecision_ &&
+         IsSuspected(aRecord);
+}
+
 size_t CrashSuspects::CountUnexplained(const Record& aRecord) const
 {
   const auto isExplained = [&](const ServerProcess& aServer) {
@@ -208,10 +239,24 @@
            aRecord.crashed_.begin(), aRecord.crashed_.end(), isExplained));
 }
 
-void CrashSuspects::BeginQuarantine(Record& aRecord, TimePoint aUntil)
+void CrashSuspects::Probe(Record& aRecord, TimePoint aUntil)
+{
+  // An extension by less is no news: each crash makes one, and transit times
+  // make a time that other instances tell a little later each time.
+  constexpr seconds kMinExtension{ 1 };
+  if (aUntil > aRecord.probedUntil_ + kMinExtension) {
+    aRecord.probedUntil_ = aUntil;
+    aRecord.revision_ = ++revision_;
+  }
+}
+
+void CrashSuspects::Refuse(Record& aRecord, TimePoint aUntil)
 {
-  aRecord.quarantinedUntil_ = aUntil;
-  aRecord.quarantineRevision_ = ++revision_;
+  constexpr seconds kMinExtension{ 5 };
+  if (aUntil > aRecord.refusedUntil_ + kMinExtension) {
+    aRecord.refusedUntil_ = aUntil;
+    aRecord.revision_ = ++revision_;
+  }
 }
 
 } // namespace foxtail
--- a/src/policy/CrashSuspects.h
+++ b/src/policy/CrashSuspects.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_CRASHSUSPECTS_H
 #define POLICY_CRASHSUSPECTS_H
 
+#include "core/EnumTable.h"
 #include "policy/CrashDetector.h"
 
 #include <functional>
@@ -31,11 +32,30 @@
   RequestFingerprint request_;
 };
 
-/// A request is not sent to any backend server for a while.
+/// How a request that may crash backend servers is treated.
+enum class SuspectTreatment
+{
+  /// Sent to one server, and to others only when that one has replied.
+  Probe,
+  /// Not sent to any server.
+  Refuse,
+};
+
+template<>
+struct EnumTable<SuspectTreatment>
+{
+  static constexpr std::array<EnumName<SuspectTreatment>, 2> kRows{ {
+    { SuspectTreatment::Probe, "probe" },
+    { SuspectTreatment::Refuse, "refuse" },
+  } };
+};
+
+/// A request is treated as a suspect for a while.
 struct RequestQuarantine
 {
   RequestFingerprint request_;
   TimePoint until_{};
+  SuspectTreatment treatment_ = SuspectTreatment::Refuse;
 };
 
 /// What instances tell each other about requests and crashes.
@@ -46,13 +66,14 @@
 {
   /// Server processes that must have crashed under a request.
   size_t minServers_ = 3;
-  /// How long a quarantine lasts. When it ends, one more crash begins another.
-  seconds quarantine_{ 300 };
-  /// How long the first quarantine of a request lasts unless a review extends
-  /// it: crashes that explain it may still be on their way from other
+  /// How long a request is refused. After that, one more crash begins another
+  /// refusal.
+  seconds refusal_{ 300 };
+  /// How long a request is probed after a crash, and refused when it is first
+  /// blamed: crashes that explain the blame may be on their way from other
   /// instances.
   milliseconds provisional_{ 2000 };
-  /// Time from the begin of a provisional quarantine to its review.
+  /// Time from the first blame to its review, which extends the refusal.
   milliseconds reviewAfter_{ 500 };
   /// After servers have crashed together, connections to some of them seem to
   /// be open for this long: the transit time between regions.
@@ -70,12 +91,13 @@
 
 /// Finds requests that crash the backend servers that run them. A crash ends
 /// all requests that the server had, most of which are not its cause. So a
-/// request is blamed only when several server processes have crashed under it,
-/// one of them although the request was sent after another crash under it, and
-/// no server has replied to it: the other requests get a reply when they are
-/// sent again. Crashes that it shares with a request under which more servers
-/// have crashed do not count. Used by entry instances and, with what these tell
-/// them, by control instances. Not thread safe.
+/// request under which several server processes have crashed is only probed,
+/// until a server replies to it. It is blamed and refused when one of them
+/// crashed although the request was sent after another crash: the other
+/// requests get a reply when they are sent again. Crashes that it shares with a
+/// request under which more servers have crashed do not count. Used by entry
+/// instances and, with what these tell them, by control instances. Not thread
+/// safe.
 class CrashSuspects
 {
 public:
@@ -94,17 +116,16 @@
   /// Begins or extends a quarantine that another instance has found necessary.
   void OnQuarantine(const RequestQuarantine& aQuarantine, TimePoint aNow);
 
-  /// Extends the provisional quarantines of the requests that are still blamed.
-  /// Called by instances that all others tell of crashes.
+  /// Extends the first refusals of the requests that are still blamed. Called
+  /// by instances that all others tell of crashes.
   void Review(TimePoint aNow);
 
   /// Applies what another instance tells.
   void Apply(const CrashNews& aNews, TimePoint aNow);
 
-  /// @return the end of the request's quarantine, or nothing when it may be
-  /// sent.
-  std::optional<TimePoint> QuarantinedUntil(RequestFingerprint aRequest,
-                                            TimePoint aNow) const;
+  /// @return how the request is treated, or nothing when it is sent as usual.
+  std::optional<RequestQuarantine> Find(RequestFingerprint aRequest,
+                                        TimePoint aNow) const;
 
   /// Increases with each quarantine that begins or is extended.
   uint64_t Revision() const { return revision_; }
@@ -130,20 +151,25 @@
     TimePoint lastSentAt_{};
     TimePoint lastEventAt_{};
     TimePoint answeredAt_{};
-    TimePoint quarantinedUntil_{};
-    uint64_t quarantineRevision_ = 0;
-    /// Whether a provisional quarantine has begun, and when it is reviewed.
-    bool wasBlamed_ = false;
+    TimePoint probedUntil_{};
+    TimePoint refusedUntil_{};
+    /// Revision of the latest change of these two.
+    uint64_t revision_ = 0;
+    /// When the request was first blamed, and when that is reviewed.
+    TimePoint blamedAt_ = TimePoint::max();
     TimePoint reviewAt_ = TimePoint::max();
   };
 
   Record& RecordOf(RequestFingerprint aRequest, TimePoint aNow);
   void RemoveExpired(TimePoint aNow);
+  bool IsSuspected(const Record& aRecord) const;
   bool IsBlamed(const Record& aRecord) const;
   /// @return the number of server processes that crashed under the request, but
   /// under none under which more have crashed.
   size_t CountUnexplained(const Record& aRecord) const;
-  void BeginQuarantine(Record& aRecord, TimePoint aUntil);
+  void Probe(Record& aRecord, TimePoint aUntil);
+  void Refuse(Record& aRecord, TimePoint aUntil);
+  void Blame(Record& aRecord, TimePoint aNow);
   void ScheduleReview(Record& aRecord, TimePoint aNow);
 
   CrashSuspectsSettings settings_;
