forward: read a query's start in two steps, and probe the first shard that can be sent to

Cause: found when reading the change: Start() of a query had grown to two refusals and a loop, and a suspect whose first shard had no server would have waited until its deadline, as nothing was sent.

Change: the refusals are a method of their own; the first shard that accepts a suspect is its probe, and the probe may be hedged.

--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -30,10 +30,34 @@
 }
 
 void GatherRequestHandler::Start(TimePoint aNow)
+{
+  const TimePoint latestSendAt = LatestSendAt(aNow);
+  if (auto refusal = RefusalBefore(latestSendAt, aNow)) {
+    Finish(*std::move(refusal), aNow);
+    return;
+  }
+  isSuspect_ = Treatment(aNow).has_value();
+  hasProbed_ = isSuspect_;
+  bool hasSent = false;
+  for (uint32_t i = 0; i < attempts_.size(); ++i) {
+    if (isSuspect_ && hasSent) {
+      heldShards_.push_back(i);
+    } else if (TrySend(attempts_[i], i, latestSendAt, aNow)) {
+      hasSent = true;
+    } else {
+      parts_[i].state_ = PartState::Missing;
+      ++missing_;
+    }
+  }
+  ScheduleTimer(aNow);
+}
+
+std::optional<ForwardAnswer> GatherRequestHandler::RefusalBefore(
+  TimePoint aLatestSendAt,
+  TimePoint aNow) const
 {
   const auto shards = static_cast<uint32_t>(attempts_.size());
   const uint32_t required = RequiredShards(shards, target_.leastShare_);
-  const TimePoint latestSendAt = LatestSendAt(aNow);
   std::vector<TimePoint> earliest;
   for (const ServiceAttempts& attempts : attempts_) {
     if (const auto at =
@@ -41,39 +65,23 @@
       earliest.push_back(*at);
     }
   }
-  std::sort(earliest.begin(), earliest.end());
   if (earliest.size() < required) {
-    Finish(RefusalAnswer(
-             std::to_string(earliest.size()) + " of " + std::to_string(shards) +
-               " shards have a backend server that accepts requests, too few "
-               "for an answer; try again, and check the announcements",
-             std::nullopt,
-             aNow),
-           aNow);
-    return;
+    return RefusalAnswer(
+      std::to_string(earliest.size()) + " of " + std::to_string(shards) +
+        " shards have a backend server that accepts requests, too few for an "
+        "answer; try again, and check the announcements",
+      std::nullopt,
+      aNow);
   }
-  // Checked before the first attempt, so that no shard's rate is spent on a
-  // query that cannot succeed.
-  if (const TimePoint enoughAt = earliest[required - 1];
-      enoughAt > latestSendAt) {
-    Finish(RefusalAnswer("too many shards limit the rate of requests; come "
+  std::sort(earliest.begin(), earliest.end());
+  const TimePoint enoughAt = earliest[required - 1];
+  if (enoughAt > aLatestSendAt) {
+    return RefusalAnswer("too many shards limit the rate of requests; come "
                          "back after the time that is stated",
                          enoughAt,
-                         aNow),
-           aNow);
-    return;
-  }
-  isSuspect_ = Treatment(aNow).has_value();
-  hasProbed_ = isSuspect_;
-  for (uint32_t i = 0; i < shards; ++i) {
-    if (isSuspect_ && i > 0) {
-      heldShards_.push_back(i);
-    } else if (!TrySend(attempts_[i], i, latestSendAt, aNow)) {
-      parts_[i].state_ = PartState::Missing;
-      ++missing_;
-    }
+                         aNow);
   }
-  ScheduleTimer(aNow);
+  return std::nullopt;
 }
 
 void GatherRequestHandler::OnExchangeEnd(Exchange& aExchange, TimePoint aNow)
@@ -190,7 +198,7 @@
   const bool isRequired = NeedsMoreParts();
   for (uint32_t i = 0; i < attempts_.size(); ++i) {
     PreconnectIfDue(attempts_[i], aNow);
-    if (MayCrashServers()) {
+    if (MayCrashServers() && !isSuspect_) {
       attempts_[i].hedgeAt_ = TimePoint::max();
     }
     HedgeIfDue(attempts_[i], i, isRequired, aNow);
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -42,8 +42,16 @@
   TimePoint NextTimerAt(TimePoint aNow) const override;
   std::span<ServiceAttempts> AllAttempts() override { return attempts_; }
 
-  /// @return whether servers may be crashing because of this query: several
-  /// have ended a connection without a reply, and none has replied.
+  /// Called before the first attempt, so that no shard's rate is spent on a
+  /// query that cannot succeed.
+  ///
+  /// @return the answer to a query for which too few shards have a server that
+  /// accepts it by @p aLatestSendAt, or nothing.
+  std::optional<ForwardAnswer> RefusalBefore(TimePoint aLatestSendAt,
+                                             TimePoint aNow) const;
+  /// @return whether servers may be crashing because of this query: they have
+  /// before, or several have ended a connection without a reply, and none has
+  /// replied.
   bool MayCrashServers() const
   {
     return !Request().hasReply_ &&
@@ -52,8 +60,8 @@
   /// Sends the query to another server of a shard after an attempt has failed,
   /// now or later, or gives the shard up.
   void SendToShard(uint32_t aShard, TimePoint aNow);
-  /// Sends the held retries once a server has replied, or fails the query when
-  /// no attempt is left that could be replied to.
+  /// Sends to the held shards once a server has replied, or fails the query
+  /// when no attempt is left that could be replied to.
   void DecideHeldShards(TimePoint aNow);
   void SetPartState(uint32_t aShard, PartState aState, TimePoint aNow);
   void EvaluateProgress(TimePoint aNow);
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -244,7 +244,7 @@
   aAttempts.hedgeAt_ = TimePoint::max();
   if (aAttempts.countedAttempts_ + aAttempts.outstanding_.size() >=
         route_.maxAttempts_ ||
-      Treatment(aNow).has_value()) {
+      Treatment(aNow) == SuspectTreatment::Refuse) {
     return;
   }
   if (!context_.budgetOf_(aAttempts.service_)
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -1,6 +1,7 @@
 #ifndef FORWARD_SERVERCONNECTIONPOOL_H
 #define FORWARD_SERVERCONNECTIONPOOL_H
 
+#include "core/RandomSource.h"
 #include "forward/CrashMonitor.h"
 #include "forward/ServerConnection.h"
 #include "policy/CrashDetector.h"
@@ -11,8 +12,6 @@
 #include "policy/SlownessEstimator.h"
 #include "policy/ZoneMap.h"
 
-#include "core/RandomSource.h"
-
 #include <deque>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/src/policy/CrashSuspects.h
+++ b/src/policy/CrashSuspects.h
@@ -4,7 +4,6 @@
 #include "core/EnumTable.h"
 #include "policy/CrashDetector.h"
 
-#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -50,7 +49,7 @@
   } };
 };
 
-/// A request is treated as a suspect for a while.
+/// The time for which a request is treated as a suspect.
 struct RequestQuarantine
 {
   RequestFingerprint request_;
