forward: servers that reset new connections are not taken for crashing ones

A reset of a new connection counted as an attempt that ended without a reply, so that a query with three of them held its other retries and failed; and each such reset opened one more connection to a server that has too many.

Change: such resets hold no retries and seek no refused connection; when the next connection is refused anyhow, they still count as a crash.

Result: a query returns to shards whose servers reset each new connection: failed before (2 connections instead of 3 or more), passes.

--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -91,7 +91,9 @@
       parts_[shard].state_ != PartState::Pending) {
     return;
   }
-  if (aExchange.IsUnanswered()) {
+  // A server that has too many connections resets new ones.
+  if (aExchange.IsUnanswered() &&
+      aExchange.fault_ != ExchangeFault::ResetOnConnect) {
     firstUnansweredAt_ = std::min(firstUnansweredAt_, aNow);
     ++unanswered_;
   }
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -400,13 +400,16 @@
       aNow - aExchange.sentAt_ >= roundTrip_ + kSchedulingMargin;
     crashDetector_.OnUnanswered(
       { request, aExchange.sentAt_, aNow, hasReachedServer }, aNow);
-    // After the events that have arrived with this one, among them the ends of
-    // the idle connections if the server has crashed.
-    boost::asio::post(context_, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->CheckForCrash(Now());
-      }
-    });
+    if (aExchange.fault_ != ExchangeFault::ResetOnConnect) {
+      wantsCrashCheck_ = true;
+      // After the events that have arrived with this one, among them the ends
+      // of the idle connections if the server has crashed.
+      boost::asio::post(context_, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->CheckForCrash(Now());
+        }
+      });
+    }
   }
   if (aExchange.fault_ == ExchangeFault::ResetOnConnect) {
     RecordConnectFailure(aNow);
@@ -466,7 +469,8 @@
 
 void ServerConnectionPool::CheckForCrash(TimePoint aNow)
 {
-  if (!crashDetector_.IsUndecided(aNow) || isRetired_ || connecting_ > 0) {
+  wantsCrashCheck_ = wantsCrashCheck_ && crashDetector_.IsUndecided(aNow);
+  if (!wantsCrashCheck_ || isRetired_ || connecting_ > 0) {
     return;
   }
   if (idleConnections_.empty()) {
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -187,6 +187,10 @@
   Duration roundTrip_;
   SlownessEstimator slowness_;
   CrashDetector crashDetector_;
+  /// Whether a connection is opened if only that shows whether the server
+  /// crashed. Not after a reset of a new connection, as the server may have too
+  /// many of them.
+  bool wantsCrashCheck_ = false;
   double failureRate_ = 0;
   TimePoint failureRateAt_{};
   TimePoint warmupUntil_{};
--- a/tests/forward/GatherRequestHandlerTest.cpp
+++ b/tests/forward/GatherRequestHandlerTest.cpp
@@ -290,3 +290,22 @@
   CHECK(limited.Requests().size() == 1);
   CHECK(other.Requests().size() == 1);
 }
+
+// Guards against taking servers that have too many connections, as after a loss
+// of power of all instances, for servers that crash under the query.
+TEST_CASE("a query returns to shards whose servers reset each new connection")
+{
+  const std::vector<std::string> shards{ "a", "b", "c", "d", "e" };
+  std::vector<std::unique_ptr<ResettingServer>> servers;
+  ForwardFixture fixture;
+  fixture.SetRoutes(GatherRoute(shards, 1));
+  for (const std::string& shard : shards) {
+    servers.push_back(std::make_unique<ResettingServer>());
+    fixture.Announce(
+      ("i-" + shard).c_str(), shard.c_str(), servers.back()->Address());
+  }
+  CHECK(fixture.Get("/all/1").result_int() >= 500);
+  for (const auto& server : servers) {
+    CHECK(server->Connections() >= 3);
+  }
+}
