policy: a refusal that is told again is not extended

Change: only provisional refusals are reviewed.

Result: the new test failed before, passes; test_policy passes.

--- a/src/policy/CrashSuspects.cpp
+++ b/src/policy/CrashSuspects.cpp
@@ -92,7 +92,9 @@
       break;
     case SuspectTreatment::Refuse:
       Refuse(record, std::min(aQuarantine.until_, aNow + settings_.refusal_));
-      ScheduleReview(record, aNow);
+      if (aQuarantine.until_ <= aNow + settings_.provisional_) {
+        ScheduleReview(record, aNow);
+      }
       break;
   }
 }
--- a/tests/policy/CrashSuspectsTest.cpp
+++ b/tests/policy/CrashSuspectsTest.cpp
@@ -191,6 +191,21 @@
   CHECK(suspects.Revision() == revision);
 }
 
+TEST_CASE("a refusal that is told again ends when it was to end")
+{
+  CrashSuspects suspects;
+  Play(suspects,
+       { { "a", milliseconds(0), milliseconds(50) },
+         { "b", milliseconds(50), milliseconds(90) },
+         { "c", milliseconds(90), milliseconds(99) } });
+  suspects.Review(kStart + seconds(1));
+  const TimePoint until = suspects.Find(kRequest, kStart + seconds(1))->until_;
+  // An entry instance that has restarted tells what it was told.
+  suspects.OnQuarantine({ kRequest, until }, kStart + seconds(100));
+  suspects.Review(kStart + seconds(101));
+  CHECK(suspects.Find(kRequest, kStart + seconds(101))->until_ == until);
+}
+
 TEST_CASE("memory of suspects is bounded and keeps quarantined requests")
 {
   CrashSuspectsSettings settings;
