--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -65,8 +65,8 @@
   gateway_.OnSlowServer([this](const SlowServerReport& aReport) {
     feed_.ReportSlowServer(aReport);
   });
-  gateway_.Crashes().OnNews(
-    [this](const CrashNews& aNews) { feed_.ReportCrashNews(aNews); });
+  gateway_.Crashes().OnReport(
+    [this](const CrashReport& aReport) { feed_.ReportCrash(aReport); });
   gateway_.Start(Now());
   feed_.Start(Now());
   ScheduleReadinessCheck();
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -245,7 +245,7 @@
     aSource.wasSynchronized_ = false;
     for (const RequestQuarantine& quarantine :
          listener_.QuarantinesInForce(aNow)) {
-      ReportCrashNews(quarantine);
+      ReportCrash(quarantine);
     }
   }
   aSource.isLost_ = false;
@@ -389,18 +389,18 @@
   }
 }
 
-void FeedClient::ReportCrashNews(const CrashNews& aNews)
+void FeedClient::ReportCrash(const CrashReport& aReport)
 {
-  const bool isFirst = crashNews_.empty();
-  if (crashNews_.size() < settings_.maxCrashNews_) {
-    crashNews_.push_back(aNews);
+  const bool isFirst = crashReports_.empty();
+  if (crashReports_.size() < settings_.maxCrashReports_) {
+    crashReports_.push_back(aReport);
   }
   if (isFirst) {
-    asio::co_spawn(context_, SendCrashNews(), asio::detached);
+    asio::co_spawn(context_, SendCrashReports(), asio::detached);
   }
 }
 
-asio::awaitable<void> FeedClient::SendCrashNews()
+asio::awaitable<void> FeedClient::SendCrashReports()
 {
   struct Collector
   {
@@ -429,12 +429,12 @@
           aQuarantine.treatment_ });
     }
   };
-  asio::steady_timer timer(context_, settings_.crashNewsDelay_);
+  asio::steady_timer timer(context_, settings_.crashReportDelay_);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   FeedRequest request;
-  for (const CrashNews& news : std::exchange(crashNews_, {})) {
-    std::visit(Collector{ request, Now() }, news);
+  for (const CrashReport& report : std::exchange(crashReports_, {})) {
+    std::visit(Collector{ request, Now() }, report);
   }
   // Each source needs all crashes, as those of one request may be seen in
   // several zones.
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -65,11 +65,11 @@
   milliseconds reportDelay_{ 100 };
   /// Largest number of servers in one report.
   size_t maxReportedServers_ = 64;
-  /// News of crashes are collected for this long, as a server that crashes ends
-  /// several requests.
-  milliseconds crashNewsDelay_{ 5 };
-  /// Largest number of such news in one report; later ones are dropped.
-  size_t maxCrashNews_ = 256;
+  /// Reports of crashes are collected for this long, as a server that crashes
+  /// ends several requests.
+  milliseconds crashReportDelay_{ 5 };
+  /// Largest number of crash reports in one message; later ones are dropped.
+  size_t maxCrashReports_ = 256;
   /// Largest document, in bytes.
   size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
   /// A source that no other source has listed and that has not replied for this
@@ -129,9 +129,9 @@
   /// found shortly after. Called on worker 0.
   void ReportSlowServer(const SlowServerReport& aReport);
 
-  /// Tells all reachable sources about a request under which servers crash,
-  /// together with other such news that follow shortly. Called on worker 0.
-  void ReportCrashNews(const CrashNews& aNews);
+  /// Reports a request under which servers crash to all reachable sources,
+  /// together with reports that follow shortly. Called on worker 0.
+  void ReportCrash(const CrashReport& aReport);
 
   /// @return whether the newest document that any reachable source has is
   /// received, or the wait for it is over.
@@ -200,8 +200,8 @@
                     TimePoint aNow);
   /// Sends the collected reports of slow servers after reportDelay_.
   boost::asio::awaitable<void> SendReports();
-  /// Sends the collected news of crashes after crashNewsDelay_.
-  boost::asio::awaitable<void> SendCrashNews();
+  /// Sends the collected reports of crashes after crashReportDelay_.
+  boost::asio::awaitable<void> SendCrashReports();
   /// Turns a request into a report: it asks a source for nothing, so that it is
   /// replied to at once.
   static void MakeReport(FeedRequest& aRequest, const Source& aSource);
@@ -238,8 +238,8 @@
   std::map<std::string, Source> sources_;
   /// Reports that have not been sent yet, the latest of each server.
   std::map<BackendId, SlowServerReport> reports_;
-  /// News of crashes that have not been sent yet.
-  std::vector<CrashNews> crashNews_;
+  /// Reports of crashes that have not been sent yet.
+  std::vector<CrashReport> crashReports_;
 };
 
 } // namespace foxtail
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -78,7 +78,7 @@
   /// Requests whose crashes were reported and that a server has replied to
   /// since.
   std::vector<RequestFingerprint> answered_{};
-  /// Quarantines that the client knows and a restarted source may not.
+  /// Quarantines in force at the client that a restarted source may lack.
   std::vector<FeedQuarantine> quarantines_{};
   /// Revision of the source's quarantines up to which the client has all.
   uint64_t knownQuarantineRevision_ = 0;
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -189,7 +189,7 @@
     if (!request->isControl_) {
       entryInstances_[aFrom] = Now();
       ApplyReports(aFrom, *request, Now());
-      ApplyCrashNews(*request, Now());
+      ApplyCrashReports(*request, Now());
     }
     if (!HasUpdates(*request)) {
       timer =
@@ -236,7 +236,7 @@
   }
 }
 
-void FeedSource::ApplyCrashNews(const FeedRequest& aRequest, TimePoint aNow)
+void FeedSource::ApplyCrashReports(const FeedRequest& aRequest, TimePoint aNow)
 {
   const uint64_t before = crashSuspects_.Revision();
   for (const FeedCrash& crash : aRequest.crashes_) {
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -78,7 +78,7 @@
                     const FeedRequest& aRequest,
                     TimePoint aNow);
   /// Applies the client's reports of crashes and quarantines.
-  void ApplyCrashNews(const FeedRequest& aRequest, TimePoint aNow);
+  void ApplyCrashReports(const FeedRequest& aRequest, TimePoint aNow);
   bool HasUpdates(const FeedRequest& aRequest) const
   {
     return HasNonServerUpdates(aRequest) || HasServerUpdates(aRequest) ||
--- a/src/forward/CrashMonitor.cpp
+++ b/src/forward/CrashMonitor.cpp
@@ -18,8 +18,8 @@
 
 void CrashMonitor::OnAnswered(RequestFingerprint aRequest, TimePoint aNow)
 {
-  if (suspects_.OnAnswered(aRequest, aNow) && onNews_) {
-    onNews_(RequestAnswered{ aRequest });
+  if (suspects_.OnAnswered(aRequest, aNow) && onReport_) {
+    onReport_(RequestAnswered{ aRequest });
   }
 }
 
@@ -43,15 +43,15 @@
     .Add("fingerprints", fingerprints);
   const uint64_t before = suspects_.Revision();
   for (const RequestCrash& crash : aCrashes) {
-    if (suspects_.OnCrash(crash, aNow) && onNews_) {
-      onNews_(crash);
+    if (suspects_.OnCrash(crash, aNow) && onReport_) {
+      onReport_(crash);
     }
   }
   const auto quarantines = LogQuarantines(before, "this_instance", aNow);
-  if (onNews_) {
+  if (onReport_) {
     // Control instances find most of them by the crashes, but know their times
     // only to a few milliseconds.
-    std::for_each(quarantines.begin(), quarantines.end(), onNews_);
+    std::for_each(quarantines.begin(), quarantines.end(), onReport_);
   }
 }
 
--- a/src/forward/CrashMonitor.h
+++ b/src/forward/CrashMonitor.h
@@ -12,17 +12,17 @@
 class Metrics;
 
 /// Which requests this instance probes or refuses, as they may crash servers:
-/// CrashSuspects with its log lines and metrics, and the news that other
+/// CrashSuspects with its log lines and metrics, and the reports that other
 /// instances need. Not thread-safe.
 class CrashMonitor
 {
 public:
-  using NewsCallback = std::function<void(const CrashNews&)>;
+  using ReportCallback = std::function<void(const CrashReport&)>;
 
   explicit CrashMonitor(Metrics& aMetrics);
 
-  /// Sets the function that tells other instances.
-  void OnNews(NewsCallback aCallback) { onNews_ = std::move(aCallback); }
+  /// Sets the function that sends a report to other instances.
+  void OnReport(ReportCallback aCallback) { onReport_ = std::move(aCallback); }
 
   /// The connection of a request has ended without a reply.
   void OnUnanswered(RequestFingerprint aRequest, TimePoint aNow)
@@ -58,7 +58,7 @@
                                                 TimePoint aNow);
 
   CrashSuspects suspects_;
-  NewsCallback onNews_;
+  ReportCallback onReport_;
   prometheus::Counter& crashes_;
   prometheus::Counter& quarantines_;
 };
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -73,8 +73,8 @@
   ForwardAnswer MergeParts() const;
 
   /// Attempts without a reply that are retried before any server has replied:
-  /// enough to tell a query that crashes servers from one that has lost them,
-  /// without crashing a second server of each shard.
+  /// enough to distinguish a query that crashes servers from one that lost
+  /// them, without crashing a second server of each shard.
   static constexpr uint32_t kMaxUnansweredRetried = 2;
 
   const GatherTarget& target_;
--- a/src/policy/CrashSuspects.cpp
+++ b/src/policy/CrashSuspects.cpp
@@ -117,7 +117,7 @@
   }
 }
 
-void CrashSuspects::Apply(const CrashNews& aNews, TimePoint aNow)
+void CrashSuspects::Apply(const CrashReport& aReport, TimePoint aNow)
 {
   struct Visitor
   {
@@ -137,7 +137,7 @@
       suspects_.OnQuarantine(aQuarantine, now_);
     }
   };
-  std::visit(Visitor{ *this, aNow }, aNews);
+  std::visit(Visitor{ *this, aNow }, aReport);
 }
 
 std::optional<RequestQuarantine> CrashSuspects::Find(
@@ -243,8 +243,8 @@
 
 void CrashSuspects::Probe(Record& aRecord, TimePoint aUntil)
 {
-  // An extension by less is no news: each crash makes one, and transit times
-  // make a time that other instances tell a little later each time.
+  // A shorter extension is not published: each crash makes one, and transit
+  // times shift the end that other instances report.
   constexpr seconds kMinExtension{ 1 };
   if (aUntil > aRecord.probedUntil_ + kMinExtension) {
     aRecord.probedUntil_ = aUntil;
--- a/src/policy/CrashSuspects.h
+++ b/src/policy/CrashSuspects.h
@@ -57,8 +57,8 @@
   SuspectTreatment treatment_ = SuspectTreatment::Refuse;
 };
 
-/// What instances tell each other about requests and crashes.
-using CrashNews =
+/// Reports on requests and crashes between instances.
+using CrashReport =
   std::variant<RequestCrash, RequestAnswered, RequestQuarantine>;
 
 struct CrashSuspectsSettings
@@ -77,7 +77,7 @@
   /// After servers have crashed together, connections to some of them seem to
   /// be open for this long: the transit time between regions.
   milliseconds transitTime_{ 25 };
-  /// Times of crashes that other instances tell are this precise.
+  /// Precision of the times of crashes that other instances report.
   milliseconds timePrecision_{ 5 };
   /// How long a crash counts.
   seconds crashLifetime_{ 3600 };
@@ -95,7 +95,7 @@
 /// crashed although the request was sent after another crash: the other
 /// requests get a reply when they are sent again. Crashes that it shares with a
 /// request under which more servers have crashed do not count. Used by entry
-/// instances and, with what these tell them, by control instances. Not thread
+/// instances and, with their reports, by control instances. Not thread
 /// safe.
 class CrashSuspects
 {
@@ -116,11 +116,11 @@
   void OnQuarantine(const RequestQuarantine& aQuarantine, TimePoint aNow);
 
   /// Extends the first refusals of the requests that are still blamed. Called
-  /// by instances that all others tell of crashes.
+  /// by instances that receive the reports of all others.
   void Review(TimePoint aNow);
 
-  /// Applies what another instance tells.
-  void Apply(const CrashNews& aNews, TimePoint aNow);
+  /// Applies a report of another instance.
+  void Apply(const CrashReport& aReport, TimePoint aNow);
 
   /// @return how the request is treated, or nothing when it is sent as usual.
   std::optional<RequestQuarantine> Find(RequestFingerprint aRequest,
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -432,7 +432,7 @@
 }
 
 // Guards against a request that crashes one server at each instance, each of
-// which knows of one crash only.
+// which has seen one crash only.
 TEST_CASE("feed: a request under which three servers crash is quarantined")
 {
   const RequestFingerprint request(7);
@@ -455,9 +455,9 @@
     REQUIRE(
       client->WaitFor([&] { return client->feed_.LiveSources(Now()) == 2; }));
   }
-  const auto report = [&](size_t aClient, CrashNews aNews) {
+  const auto report = [&](size_t aClient, CrashReport aReport) {
     clients[aClient]->RunOnWorker([&] {
-      clients[aClient]->feed_.ReportCrashNews(aNews);
+      clients[aClient]->feed_.ReportCrash(aReport);
       return true;
     });
     std::this_thread::sleep_for(milliseconds(100));
--- a/tests/policy/CrashSuspectsTest.cpp
+++ b/tests/policy/CrashSuspectsTest.cpp
@@ -186,12 +186,12 @@
   suspects.Apply(RequestQuarantine{ kRequest, kStart + seconds(9999) }, kStart);
   CHECK(suspects.Find(kRequest, kStart)->until_ == kStart + settings.refusal_);
   const uint64_t revision = suspects.Revision();
-  // What comes back from other instances is no news.
+  // A report that comes back from other instances is not published again.
   suspects.Apply(RequestQuarantine{ kRequest, kStart + seconds(301) }, kStart);
   CHECK(suspects.Revision() == revision);
 }
 
-TEST_CASE("a refusal that is told again ends when it was to end")
+TEST_CASE("a refusal that is reported again is not extended")
 {
   CrashSuspects suspects;
   Play(suspects,
@@ -200,7 +200,7 @@
          { "c", milliseconds(90), milliseconds(99) } });
   suspects.Review(kStart + seconds(1));
   const TimePoint until = suspects.Find(kRequest, kStart + seconds(1))->until_;
-  // An entry instance that has restarted tells what it was told.
+  // A restarted entry instance reports what it received.
   suspects.OnQuarantine({ kRequest, until }, kStart + seconds(100));
   suspects.Review(kStart + seconds(101));
   CHECK(suspects.Find(kRequest, kStart + seconds(101))->until_ == until);
@@ -218,7 +218,7 @@
   CHECK(TreatmentAt(suspects, seconds(0)));
 }
 
-TEST_CASE("a crash is told from a lost connection by a refused connect")
+TEST_CASE("a refused connect distinguishes a crash from a lost connection")
 {
   const UnansweredRequest request{ kRequest, kStart, kStart };
   CrashDetector detector;
