--- a/src/policy/CrashDetector.h
+++ b/src/policy/CrashDetector.h
@@ -40,7 +40,7 @@
   bool hasReachedServer_ = true;
 };
 
-/// Tells a crash of a backend server from a connection that was lost: after a
+/// Distinguishes a crash of a backend server from a lost connection: after a
 /// crash the server's port refuses connections. Not thread safe.
 class CrashDetector
 {
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -497,7 +497,7 @@
                                       Now() + seconds(100) };
   client.RunOnWorker([&] {
     client.quarantines_.push_back(quarantine);
-    // A source that this instance has not heard from, as after a restart.
+    // A source without an earlier reply, as after a restart.
     client.feed_.SetSeeds({ second.Endpoint() }, Now());
     return true;
   });
