--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,7 +22,7 @@
 WORK_S = 0.0025  # mast-check
 # answer_lost, "reset across": the largest dose of the site's days.
 SHARE, LOST, FOR_S = 0.5, 0.4, 4.0
-EPISODES, EPISODE_PAUSE_S = 6, 2.0
+EPISODES, EPISODE_PAUSE_S = 5, 2.0
 CLIENTS = 12
 # Clients ask at the same moments; the backends close connections that are idle
 # for a second, and say so.
@@ -99,13 +99,20 @@
         for _ in range(BACKENDS_PER_SHARD)
     ]
     deployment.wait_ready()
-    # Half of the backends across all shards; one of each shard is spared, as
-    # the kind's variant "all" is not used.
-    for number, service in enumerate(services):
-        own = [b for b in backends if b.service == service]
-        losing.update(b.id for b in random.sample(own, 2 if number % 2 else 1))
-    if len(losing) > SHARE * len(backends):
-        raise CannotRun("too many backends lose answers")
+    def draw():
+        # Half of the backends across all shards, others each time; one of each
+        # shard is spared, as the kind's variant "all" is not used.
+        drawn = set()
+        for number, service in enumerate(random.sample(services, SHARDS)):
+            own = [b for b in backends if b.service == service]
+            drawn.update(
+                b.id for b in random.sample(own, 2 if number % 2 else 1)
+            )
+        if len(drawn) > SHARE * len(backends):
+            raise CannotRun("too many backends lose answers")
+        losing.clear()
+        losing.update(drawn)
+
     time.sleep(BOUNDS["contact_ms"] / 1000)
 
     ends = []
@@ -129,6 +136,7 @@
     while record.now() < start + EPISODES * episode_s:
         at = (record.now() - start) % episode_s
         if TROUBLE and at < FOR_S and not is_losing.is_set():
+            draw()
             record.write(
                 f"answer_lost (reset across): {len(losing)} of {len(backends)}"
                 f" backends lose {LOST} of their answers for {FOR_S} s"
