--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -377,7 +377,7 @@
 
     # Service discovery.
 
-    def _announce(self, path, body, first=None):
+    def announce(self, path, body, first=None):
         addresses = self.deployment.control_addresses()
         random.shuffle(addresses)
         for address in ([first] if first else []) + addresses:
@@ -389,21 +389,23 @@
                 continue
         return None
 
-    def heartbeat(self):
+    def next_heartbeat(self):
         self.sequence += 1
-        return self._announce(
-            f"/Instances.Heartbeat/{self.id}",
-            {
-                "service": self.service,
-                "address": f"{self.host}:{BACKEND_PORT}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": self.state,
-                "warmup_left_ms": 0,
-                "seq": self.sequence,
-                "born": self.born,
-            },
+        return {
+            "service": self.service,
+            "address": f"{self.host}:{BACKEND_PORT}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "warmup_left_ms": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+
+    def heartbeat(self):
+        return self.announce(
+            f"/Instances.Heartbeat/{self.id}", self.next_heartbeat()
         )
 
     def _beat(self):
@@ -416,7 +418,7 @@
         """Says goodbye without having drained. Returns the host that
         acknowledged it."""
         self.beats.clear()
-        return self._announce(
+        return self.announce(
             f"/Instances.Deregister/{self.id}", {"born": self.born}, first
         )
 
