control: command frames carry any command of the replicated log

ClaimServer committed the command of a frame whatever its kind, and its names spoke of claims alone. Departures of backend servers will use the same frames. CommandServer, CommandReply and FrameKind::Command replace the names; the names on the wire, of metrics and of frame kinds in logs are as before.

--- a/programs/foxtail-control.cpp
+++ b/programs/foxtail-control.cpp
@@ -1,6 +1,6 @@
 #include "consensus/FileLogStorage.h"
 #include "control/AdminApi.h"
-#include "control/ClaimServer.h"
+#include "control/CommandServer.h"
 #include "control/DocumentServer.h"
 #include "core/Log.h"
 #include "core/Program.h"
@@ -93,7 +93,7 @@
                std::move(storage_),
                frames_,
                metrics_)
-    , claims_(control_, frames_, metrics_)
+    , commands_(control_, frames_, metrics_)
     , documents_(control_, frames_, settings_.entries_, metrics_)
     , admin_(control_, access_, metrics_)
     , platform_(
@@ -174,7 +174,7 @@
   Access access_;
   std::unique_ptr<LogStorage> storage_;
   ReplicatedControl control_;
-  ClaimServer claims_;
+  CommandServer commands_;
   DocumentServer documents_;
   AdminApi admin_;
   StatusService platform_;
--- a/src/control/ClaimClient.cpp
+++ b/src/control/ClaimClient.cpp
@@ -137,17 +137,17 @@
   while (Now() < aCommand.deadline_) {
     const FrameTransport::Endpoint target = Target();
     const auto reply = co_await SendOnce(aCommand);
-    if (reply.ok() && reply->status_ == ClaimReplyStatus::Done) {
+    if (reply.ok() && reply->status_ == CommandReplyStatus::Done) {
       co_return reply->result_;
     }
-    if (reply.ok() && reply->status_ == ClaimReplyStatus::Overloaded &&
+    if (reply.ok() && reply->status_ == CommandReplyStatus::Overloaded &&
         !aCommand.mayBeAppended_) {
       co_return MakeError(ErrorKind::Overloaded,
                           "the control instances accept no further claims at "
                           "present; resend later");
     }
     const bool isRedirected = reply.ok() &&
-                              reply->status_ == ClaimReplyStatus::NotLeader &&
+                              reply->status_ == CommandReplyStatus::NotLeader &&
                               !reply->leader_.empty();
     if (isRedirected) {
       SetTarget(reply->leader_);
@@ -164,7 +164,7 @@
   co_return TimeoutError(aCommand);
 }
 
-boost::asio::awaitable<absl::StatusOr<ClaimReply>> ClaimClient::SendOnce(
+boost::asio::awaitable<absl::StatusOr<CommandReply>> ClaimClient::SendOnce(
   PendingCommand& aCommand)
 {
   if (++aCommand.attempts_ > 1) {
@@ -174,7 +174,7 @@
   // These are named variables because g++ 12 destroys temporaries of a co_await
   // expression twice.
   Frame request;
-  request.kind_ = FrameKind::Claim;
+  request.kind_ = FrameKind::Command;
   request.payload_ = aCommand.payload_;
   const FrameTransport::Endpoint target = Target();
   auto call = frames_.Call(target,
@@ -186,9 +186,9 @@
     aCommand.mayBeAppended_ |= !isNothingSent;
     co_return frame.status();
   }
-  auto reply = DecodeClaimReply(frame->payload_);
+  auto reply = DecodeCommandReply(frame->payload_);
   const bool isAppended =
-    !reply.ok() || reply->status_ == ClaimReplyStatus::Unknown;
+    !reply.ok() || reply->status_ == CommandReplyStatus::Unknown;
   aCommand.mayBeAppended_ |= isAppended;
   co_return reply;
 }
--- a/src/control/ClaimClient.h
+++ b/src/control/ClaimClient.h
@@ -2,7 +2,7 @@
 #define CONTROL_CLAIMCLIENT_H
 
 #include "caller/ClaimStore.h"
-#include "control/ClaimMessages.h"
+#include "control/CommandMessages.h"
 #include "control/ControlSettings.h"
 #include "core/Metrics.h"
 #include "core/RandomSource.h"
@@ -48,7 +48,7 @@
 
   boost::asio::awaitable<absl::StatusOr<ClaimResult>> Send(
     PendingCommand& aCommand);
-  boost::asio::awaitable<absl::StatusOr<ClaimReply>> SendOnce(
+  boost::asio::awaitable<absl::StatusOr<CommandReply>> SendOnce(
     PendingCommand& aCommand);
   /// Releases a claim that got no reply, without waiting for the result.
   void ReleaseInBackground(const boost::asio::any_io_executor& aExecutor,
--- a/src/control/ClaimMessages.cpp
+++ b/src/control/CommandMessages.cpp
@@ -1,11 +1,11 @@
-#include "control/ClaimMessages.h"
+#include "control/CommandMessages.h"
 
 #include "control/control_generated.h"
 #include "instance/WireCodec.h"
 
 namespace foxtail {
 
-std::string EncodeClaimReply(const ClaimReply& aReply)
+std::string EncodeCommandReply(const CommandReply& aReply)
 {
   flatbuffers::FlatBufferBuilder builder;
   const auto leader = builder.CreateString(aReply.leader_);
@@ -20,21 +20,21 @@
   return FinishedBytes(builder);
 }
 
-absl::StatusOr<ClaimReply> DecodeClaimReply(std::string_view aPayload)
+absl::StatusOr<CommandReply> DecodeCommandReply(std::string_view aPayload)
 {
   const auto root = VerifyAndGetRoot<wire::ClaimFrameReply>(aPayload);
   if (!root.ok()) {
     return root.status();
   }
   const wire::ClaimFrameReply& wire = **root;
-  if (wire.status() >= EnumTable<ClaimReplyStatus>::kRows.size() ||
+  if (wire.status() >= EnumTable<CommandReplyStatus>::kRows.size() ||
       wire.claim_state() >= EnumTable<ClaimState>::kRows.size()) {
     return MakeError(ErrorKind::Protocol,
                      "the reply to a claim has an unknown state; run the "
                      "same release on all instances");
   }
-  ClaimReply reply;
-  reply.status_ = static_cast<ClaimReplyStatus>(wire.status());
+  CommandReply reply;
+  reply.status_ = static_cast<CommandReplyStatus>(wire.status());
   reply.leader_ = ToText(wire.leader());
   reply.result_.state_ = static_cast<ClaimState>(wire.claim_state());
   reply.result_.record_ = { wire.http_status(), ToText(wire.body()) };
--- a/src/control/ClaimServer.cpp
+++ b/src/control/CommandServer.cpp
@@ -1,6 +1,6 @@
-#include "control/ClaimServer.h"
+#include "control/CommandServer.h"
 
-#include "control/ClaimMessages.h"
+#include "control/CommandMessages.h"
 
 namespace foxtail {
 namespace {
@@ -18,39 +18,39 @@
   return { isApplied ? ClaimState::Granted : ClaimState::Mismatch, {} };
 }
 
-ClaimReplyStatus StatusOf(const absl::Status& aStatus)
+CommandReplyStatus StatusOf(const absl::Status& aStatus)
 {
   switch (KindOf(aStatus)) {
     case ErrorKind::NoQuorum:
-      return ClaimReplyStatus::NotLeader;
+      return CommandReplyStatus::NotLeader;
     case ErrorKind::Overloaded:
-      return ClaimReplyStatus::Overloaded;
+      return CommandReplyStatus::Overloaded;
     default:
-      return ClaimReplyStatus::Unknown;
+      return CommandReplyStatus::Unknown;
   }
 }
 
 } // namespace
 
-ClaimServer::ClaimServer(ReplicatedControl& aControl,
-                         FrameTransport& aFrames,
-                         Metrics& aMetrics)
+CommandServer::CommandServer(ReplicatedControl& aControl,
+                             FrameTransport& aFrames,
+                             Metrics& aMetrics)
   : control_(aControl)
   , committed_(aMetrics.Counter("foxtail_control_claim_frames_total",
-                                "Claim frames answered",
+                                "Command frames answered",
                                 { { "result", "committed" } }))
   , notCommitted_(aMetrics.Counter("foxtail_control_claim_frames_total",
-                                   "Claim frames answered",
+                                   "Command frames answered",
                                    { { "result", "not_committed" } }))
 {
-  aFrames.OnCall(FrameKind::Claim, [this](const InstanceId&, Frame aFrame) {
-    return HandleClaim(std::move(aFrame));
+  aFrames.OnCall(FrameKind::Command, [this](const InstanceId&, Frame aFrame) {
+    return HandleCommand(std::move(aFrame));
   });
 }
 
-boost::asio::awaitable<Frame> ClaimServer::HandleClaim(Frame aFrame)
+boost::asio::awaitable<Frame> CommandServer::HandleCommand(Frame aFrame)
 {
-  ClaimReply reply;
+  CommandReply reply;
   auto command = DecodeCommand(aFrame.payload_);
   const bool isClaim =
     command.ok() && !std::holds_alternative<ChangeDocument>(command->body_);
@@ -59,25 +59,25 @@
       control_.Submit(std::move(command->body_), kCommitTimeout);
     const auto result = co_await std::move(submission);
     if (result.ok()) {
-      reply.status_ = ClaimReplyStatus::Done;
+      reply.status_ = CommandReplyStatus::Done;
       reply.result_ = ResultOf(*result);
     } else {
       reply.status_ = StatusOf(result.status());
     }
   }
-  if (reply.status_ == ClaimReplyStatus::NotLeader) {
+  if (reply.status_ == CommandReplyStatus::NotLeader) {
     reply.leader_ = co_await LeaderEndpoint();
   }
-  const bool isDone = reply.status_ == ClaimReplyStatus::Done;
+  const bool isDone = reply.status_ == CommandReplyStatus::Done;
   (isDone ? committed_ : notCommitted_).Increment();
   Frame answer;
-  answer.kind_ = FrameKind::ClaimReply;
+  answer.kind_ = FrameKind::CommandReply;
   answer.correlation_ = aFrame.correlation_;
-  answer.payload_ = EncodeClaimReply(reply);
+  answer.payload_ = EncodeCommandReply(reply);
   co_return answer;
 }
 
-boost::asio::awaitable<std::string> ClaimServer::LeaderEndpoint()
+boost::asio::awaitable<std::string> CommandServer::LeaderEndpoint()
 {
   co_return co_await control_.Inspect(
     [](const ConsensusNode& aNode, const ControlState&) {
--- a/src/control/ClaimServer.h
+++ b/src/control/CommandServer.h
@@ -1,23 +1,23 @@
-#ifndef CONTROL_CLAIMSERVER_H
-#define CONTROL_CLAIMSERVER_H
+#ifndef CONTROL_COMMANDSERVER_H
+#define CONTROL_COMMANDSERVER_H
 
 #include "control/ReplicatedControl.h"
 
 namespace foxtail {
 
-/// Handles claim frames on a control instance: commits the command of each
+/// Handles command frames on a control instance: commits the command of each
 /// frame through the replicated log, or replies with the leader's endpoint.
 /// Thread safe.
-class ClaimServer
+class CommandServer
 {
 public:
   /// @param aFrames must not have been started.
-  ClaimServer(ReplicatedControl& aControl,
-              FrameTransport& aFrames,
-              Metrics& aMetrics);
+  CommandServer(ReplicatedControl& aControl,
+                FrameTransport& aFrames,
+                Metrics& aMetrics);
 
 private:
-  boost::asio::awaitable<Frame> HandleClaim(Frame aFrame);
+  boost::asio::awaitable<Frame> HandleCommand(Frame aFrame);
   boost::asio::awaitable<std::string> LeaderEndpoint();
 
   ReplicatedControl& control_;
@@ -27,4 +27,4 @@
 
 } // namespace foxtail
 
-#endif // CONTROL_CLAIMSERVER_H
+#endif // CONTROL_COMMANDSERVER_H
--- a/src/instance/FrameTransport.h
+++ b/src/instance/FrameTransport.h
@@ -21,9 +21,9 @@
 {
   /// Messages of the replicated log.
   Consensus,
-  /// Claims, releases and records of actions, and the replies to them.
-  Claim,
-  ClaimReply,
+  /// Commands for the replicated log, and the replies to them.
+  Command,
+  CommandReply,
   /// Reads of the accepted document from a control instance.
   DocumentRead,
   DocumentReadReply,
@@ -48,8 +48,8 @@
 {
   static constexpr std::array<EnumName<FrameKind>, 13> kRows{ {
     { FrameKind::Consensus, "consensus" },
-    { FrameKind::Claim, "claim" },
-    { FrameKind::ClaimReply, "claim_reply" },
+    { FrameKind::Command, "claim" },
+    { FrameKind::CommandReply, "claim_reply" },
     { FrameKind::DocumentRead, "document_read" },
     { FrameKind::DocumentReadReply, "document_read_reply" },
     { FrameKind::Membership, "membership" },
--- a/tests/instance/FrameTransportTest.cpp
+++ b/tests/instance/FrameTransportTest.cpp
@@ -72,12 +72,12 @@
       [](const InstanceId&, Frame aFrame) -> asio::awaitable<Frame> {
         co_return MakeFrame(FrameKind::RelayReply, aFrame.payload_ + "!");
       });
-    transport_.OnCall(FrameKind::Claim,
+    transport_.OnCall(FrameKind::Command,
                       [](const InstanceId&, Frame) -> asio::awaitable<Frame> {
                         asio::steady_timer timer(
                           co_await asio::this_coro::executor, seconds(5));
                         co_await timer.async_wait(asio::use_awaitable);
-                        co_return MakeFrame(FrameKind::ClaimReply, "late");
+                        co_return MakeFrame(FrameKind::CommandReply, "late");
                       });
     startStatus_ = transport_.Start();
     pool_.Start();
@@ -292,7 +292,7 @@
       ErrorKind::Unavailable },
     { "the reply arrives after the deadline",
       b.transport_.Port(),
-      FrameKind::Claim,
+      FrameKind::Command,
       ErrorKind::DeadlineExceeded },
     { "the peer has no handler",
       b.transport_.Port(),
