control: a departure of a backend server is committed before it is acknowledged

Cause: the control instance that received the deregistration acknowledged it from its memory; the feed sends changes 100 ms later, and no disk had it. Change: a departure (a server drains or deregisters) is a command of the replicated log. Why it works: what a quorum has synced outlives the losses that the group bears, and a restarted instance reads it back. The same cause in other places: draining heartbeats, planned stops, the loss of all processes with a late heartbeat, and a deregistration without a start time at an instance that does not have the server (acknowledged without effect).

--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -1,6 +1,6 @@
 #include "control/AdminApi.h"
 
-#include "control/LeaderAdminEndpoint.h"
+#include "control/LeaderEndpoints.h"
 #include "core/Log.h"
 #include "operator/DocumentDiff.h"
 #include "policy/Outcome.h"
--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -1,6 +1,6 @@
 #include "control/Command.h"
 
-#include "control/control_generated.h"
+#include "control/DepartureCodec.h"
 #include "core/Compression.h"
 #include "instance/WireCodec.h"
 
@@ -93,6 +93,12 @@
                builder_, aBody.version_.Value(), 0, text)
                .Union() };
   }
+
+  WireCommand operator()(const RecordDeparture& aBody) const
+  {
+    return { wire::CommandBody::RecordDeparture,
+             EncodeDeparture(builder_, aBody.announcement_).Union() };
+  }
 };
 
 template<typename T>
@@ -149,6 +155,15 @@
            milliseconds(aWire.retention_ms()) };
 }
 
+absl::StatusOr<CommandBody> FromWire(const wire::RecordDeparture& aWire)
+{
+  auto announcement = DecodeDeparture(aWire);
+  if (!announcement.ok()) {
+    return announcement.status();
+  }
+  return RecordDeparture{ *std::move(announcement) };
+}
+
 absl::StatusOr<CommandBody> BodyOf(const wire::Command& aCommand)
 {
   switch (aCommand.body_type()) {
@@ -162,6 +177,8 @@
       return FromWire(*aCommand.body_as_ReleaseAction());
     case wire::CommandBody::AdoptDocument:
       return FromWire(*aCommand.body_as_AdoptDocument());
+    case wire::CommandBody::RecordDeparture:
+      return FromWire(*aCommand.body_as_RecordDeparture());
     case wire::CommandBody::NONE:
       break;
   }
--- a/src/control/Command.h
+++ b/src/control/Command.h
@@ -4,6 +4,7 @@
 #include "caller/ClaimStore.h"
 #include "core/EnumTable.h"
 #include "core/Ids.h"
+#include "policy/ServerDirectory.h"
 
 #include <absl/status/statusor.h>
 #include <cstdint>
@@ -61,11 +62,20 @@
   milliseconds retention_{};
 };
 
+/// Records that a backend server drains or has deregistered.
+struct RecordDeparture
+{
+  /// Its phase is Draining or Gone. Only the id and the start are set when the
+  /// instance that received a deregistration has no announcement of the server.
+  ServerAnnouncement announcement_;
+};
+
 using CommandBody = std::variant<ChangeDocument,
                                  ClaimAction,
                                  RecordAction,
                                  ReleaseAction,
-                                 AdoptDocument>;
+                                 AdoptDocument,
+                                 RecordDeparture>;
 
 /// A command entry of the replicated log.
 struct Command
@@ -116,8 +126,12 @@
   bool isApplied_ = false;
 };
 
+/// Result of a command that records a departure, which is never refused.
+struct DepartureRecorded
+{};
+
 using CommandResult =
-  std::variant<ChangeResult, ClaimResult, ClaimUpdateResult>;
+  std::variant<ChangeResult, ClaimResult, ClaimUpdateResult, DepartureRecorded>;
 
 std::string EncodeCommand(const Command& aCommand);
 /// Verifies the text before it is read.
--- a/src/control/CommandServer.cpp
+++ b/src/control/CommandServer.cpp
@@ -1,6 +1,7 @@
 #include "control/CommandServer.h"
 
 #include "control/CommandMessages.h"
+#include "control/LeaderEndpoints.h"
 
 namespace foxtail {
 namespace {
@@ -14,7 +15,8 @@
     return *claim;
   }
   const auto* update = std::get_if<ClaimUpdateResult>(&aResult);
-  const bool isApplied = update != nullptr && update->isApplied_;
+  const bool isApplied = std::holds_alternative<DepartureRecorded>(aResult) ||
+                         (update != nullptr && update->isApplied_);
   return { isApplied ? ClaimState::Granted : ClaimState::Mismatch, {} };
 }
 
@@ -66,7 +68,8 @@
     }
   }
   if (reply.status_ == CommandReplyStatus::NotLeader) {
-    reply.leader_ = co_await LeaderEndpoint();
+    auto inspection = control_.Inspect(LeaderFrameEndpoint);
+    reply.leader_ = co_await std::move(inspection);
   }
   const bool isDone = reply.status_ == CommandReplyStatus::Done;
   (isDone ? committed_ : notCommitted_).Increment();
@@ -77,16 +80,4 @@
   co_return answer;
 }
 
-boost::asio::awaitable<std::string> CommandServer::LeaderEndpoint()
-{
-  co_return co_await control_.Inspect(
-    [](const ConsensusNode& aNode, const ControlState&) {
-      const auto& leader = aNode.Leader();
-      const GroupMember* member =
-        leader.has_value() ? aNode.CurrentMembership().Find(*leader) : nullptr;
-      const bool isOther = member != nullptr && member->id_ != aNode.Self();
-      return isOther ? member->endpoint_ : std::string();
-    });
-}
-
 } // namespace foxtail
--- a/src/control/CommandServer.h
+++ b/src/control/CommandServer.h
@@ -18,7 +18,6 @@
 
 private:
   boost::asio::awaitable<Frame> HandleCommand(Frame aFrame);
-  boost::asio::awaitable<std::string> LeaderEndpoint();
 
   ReplicatedControl& control_;
   prometheus::Counter& committed_;
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -1,6 +1,6 @@
 #include "control/ControlState.h"
 
-#include "control/control_generated.h"
+#include "control/DepartureCodec.h"
 #include "instance/WireCodec.h"
 
 #include <algorithm>
@@ -12,6 +12,7 @@
 {
   DocumentLedger& documents_;
   ClaimTable& claims_;
+  DepartureTable& departures_;
   milliseconds time_;
 
   CommandResult operator()(const ChangeDocument& aBody) const
@@ -22,6 +23,11 @@
   {
     return documents_.Adopt(aBody, time_);
   }
+  CommandResult operator()(const RecordDeparture& aBody) const
+  {
+    departures_.Apply(aBody.announcement_, time_);
+    return DepartureRecorded{};
+  }
   template<typename Body>
   CommandResult operator()(const Body& aBody) const
   {
@@ -116,19 +122,38 @@
   return row;
 }
 
+absl::StatusOr<DepartureTable::Rows> DeparturesOf(
+  const wire::ControlSnapshot& aSnapshot)
+{
+  DepartureTable::Rows rows;
+  if (aSnapshot.departures() == nullptr) {
+    return rows;
+  }
+  for (const wire::DepartureRow* row : *aSnapshot.departures()) {
+    auto announcement = DecodeDeparture(*row->announcement());
+    if (!announcement.ok()) {
+      return announcement.status();
+    }
+    rows[announcement->id_] = { *announcement,
+                                milliseconds(row->recorded_at_ms()) };
+  }
+  return rows;
+}
+
 } // namespace
 
 CommandResult ControlState::Apply(const Command& aCommand)
 {
   // The clock of a new leader may be behind that of the previous one.
   logTime_ = std::max(logTime_, aCommand.time_);
-  return std::visit(CommandApplier{ documents_, claims_, logTime_ },
-                    aCommand.body_);
+  return std::visit(
+    CommandApplier{ documents_, claims_, departures_, logTime_ },
+    aCommand.body_);
 }
 
 ControlStateSnapshot ControlState::TakeSnapshot()
 {
-  return { logTime_, documents_, claims_.TakeSnapshot() };
+  return { logTime_, documents_, claims_.TakeSnapshot(), departures_ };
 }
 
 std::string ControlStateSnapshot::Encode() const
@@ -152,17 +177,25 @@
       }
     }
   }
+  std::vector<flatbuffers::Offset<wire::DepartureRow>> departures;
+  for (const auto& [id, row] : departures_.GetRows()) {
+    const auto announcement = EncodeDeparture(builder, row.announcement_);
+    departures.push_back(
+      wire::CreateDepartureRow(builder, announcement, row.recordedAt_.count()));
+  }
   const auto text = builder.CreateString(*documents_.Text());
   const auto changeList = builder.CreateVector(changes);
   const auto historyList = builder.CreateVector(history);
   const auto claimList = builder.CreateVector(claims);
+  const auto departureList = builder.CreateVector(departures);
   builder.Finish(wire::CreateControlSnapshot(builder,
                                              logTime_.count(),
                                              documents_.Version().Value(),
                                              text,
                                              changeList,
                                              historyList,
-                                             claimList));
+                                             claimList,
+                                             departureList));
   return FinishedBytes(builder);
 }
 
@@ -180,6 +213,10 @@
                      "on all control instances");
   }
   const auto& root = *flatbuffers::GetRoot<wire::ControlSnapshot>(bytes);
+  auto departures = DeparturesOf(root);
+  if (!departures.ok()) {
+    return departures.status();
+  }
   std::deque<HistoryEntry> history;
   for (const wire::HistoryRow* row : *root.history()) {
     history.push_back(FromWire(*row));
@@ -193,6 +230,7 @@
                      root.text()->str(),
                      std::move(history),
                      std::move(results));
+  departures_.Restore(*std::move(departures));
   claims_ = ClaimTable();
   for (const wire::ClaimRow* row : *root.claims()) {
     claims_.Restore(row->key()->str(), FromWire(*row));
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -3,6 +3,7 @@
 
 #include "control/ClaimTable.h"
 #include "control/Command.h"
+#include "control/DepartureTable.h"
 #include "control/DocumentLedger.h"
 
 #include <absl/status/status.h>
@@ -18,14 +19,16 @@
   milliseconds logTime_{};
   DocumentLedger documents_;
   ClaimTable::Partitions claims_;
+  DepartureTable departures_;
 
   /// @return the encoded snapshot.
   std::string Encode() const;
 };
 
-/// State machine of the replicated log: the accepted document and the claims of
-/// actions. Deterministic: the same entries in the same order give the same
-/// state on every member. Not thread safe.
+/// State machine of the replicated log: the accepted document, the claims of
+/// actions and the departures of backend servers. Deterministic: the same
+/// entries in the same order give the same state on every member. Not thread
+/// safe.
 class ControlState
 {
 public:
@@ -33,6 +36,7 @@
 
   const DocumentLedger& Documents() const { return documents_; }
   const ClaimTable& Claims() const { return claims_; }
+  const DepartureTable& Departures() const { return departures_; }
   /// @return the log time, since the epoch: the latest time of any command
   /// applied.
   milliseconds LogTime() const { return logTime_; }
@@ -47,6 +51,7 @@
   milliseconds logTime_{};
   DocumentLedger documents_;
   ClaimTable claims_;
+  DepartureTable departures_;
 };
 
 } // namespace foxtail
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -110,6 +110,11 @@
   onDocument_ = std::move(aListener);
 }
 
+void ReplicatedControl::OnDeparture(DepartureListener aListener)
+{
+  onDeparture_ = std::move(aListener);
+}
+
 void ReplicatedControl::OnMembership(
   std::function<void(const Membership&)> aListener)
 {
@@ -591,6 +596,7 @@
     const DocumentVersion before = state_.Documents().Version();
     if (command.ok()) {
       result = state_.Apply(*command);
+      NotifyDeparture(*command);
     } else {
       result = command.status();
     }
@@ -631,6 +637,11 @@
     pending.mapped().handler_(OutcomeUnknownError());
   }
   NotifyDocument();
+  if (onDeparture_) {
+    for (const auto& [id, row] : state_.Departures().GetRows()) {
+      onDeparture_(row.announcement_);
+    }
+  }
 }
 
 void ReplicatedControl::SendMessage(const ConsensusMessage& aMessage)
@@ -711,6 +722,14 @@
   }
 }
 
+void ReplicatedControl::NotifyDeparture(const Command& aCommand)
+{
+  const auto* departure = std::get_if<RecordDeparture>(&aCommand.body_);
+  if (onDeparture_ && departure != nullptr) {
+    onDeparture_(departure->announcement_);
+  }
+}
+
 void ReplicatedControl::NotifyMembership()
 {
   if (onMembership_ && node_->CurrentMembership() != notifiedMembership_) {
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -32,6 +32,11 @@
 using DocumentListener = std::function<
   void(DocumentVersion, std::shared_ptr<const std::string>, bool aIsLeader)>;
 
+/// Called with a departure of a backend server that was committed, and with all
+/// departures of a snapshot that replaces the state. Runs on the control
+/// thread, so it must not block.
+using DepartureListener = std::function<void(const ServerAnnouncement&)>;
+
 /// Runs one member of the control group. One thread, the control thread, drives
 /// the consensus node, its storage, its messages and the control state.
 /// Requests received while a batch is being synced go into the next batch.
@@ -52,6 +57,8 @@
 
   /// Call before Start().
   void OnDocument(DocumentListener aListener);
+  /// Call before Start().
+  void OnDeparture(DepartureListener aListener);
   /// The listener runs on the control thread when the members have changed, and
   /// must not block. Call before Start().
   void OnMembership(std::function<void(const Membership&)> aListener);
@@ -252,6 +259,7 @@
   void UpdateRole();
   void UpdateMetrics();
   void NotifyDocument();
+  void NotifyDeparture(const Command& aCommand);
   void NotifyMembership();
   /// @return whether the group was created recently and still lacks voters.
   bool IsAwaitingVoters();
@@ -278,6 +286,7 @@
   std::unique_ptr<LogStorage> storage_;
   FrameTransport& frames_;
   DocumentListener onDocument_;
+  DepartureListener onDeparture_;
   std::function<void()> onFailure_;
   std::function<void(const Membership&)> onMembership_;
   MemberId self_;
--- a/src/control/VersionedDocumentService.cpp
+++ b/src/control/VersionedDocumentService.cpp
@@ -1,6 +1,6 @@
 #include "control/VersionedDocumentService.h"
 
-#include "control/LeaderAdminEndpoint.h"
+#include "control/LeaderEndpoints.h"
 #include "core/Log.h"
 
 namespace foxtail {
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -31,6 +31,9 @@
 struct AdoptDocument;
 struct AdoptDocumentBuilder;
 
+struct RecordDeparture;
+struct RecordDepartureBuilder;
+
 struct Command;
 struct CommandBuilder;
 
@@ -43,6 +46,9 @@
 struct ClaimRow;
 struct ClaimRowBuilder;
 
+struct DepartureRow;
+struct DepartureRowBuilder;
+
 struct ControlSnapshot;
 struct ControlSnapshotBuilder;
 
@@ -59,37 +65,40 @@
   RecordAction = 3,
   ReleaseAction = 4,
   AdoptDocument = 5,
+  RecordDeparture = 6,
   MIN = NONE,
-  MAX = AdoptDocument
+  MAX = RecordDeparture
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[6] {
+inline const CommandBody (&EnumValuesCommandBody())[7] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ChangeDocument,
     CommandBody::ClaimAction,
     CommandBody::RecordAction,
     CommandBody::ReleaseAction,
-    CommandBody::AdoptDocument
+    CommandBody::AdoptDocument,
+    CommandBody::RecordDeparture
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "NONE",
     "ChangeDocument",
     "ClaimAction",
     "RecordAction",
     "ReleaseAction",
     "AdoptDocument",
+    "RecordDeparture",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::AdoptDocument)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::RecordDeparture)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -118,6 +127,10 @@
   static const CommandBody enum_value = CommandBody::AdoptDocument;
 };
 
+template<> struct CommandBodyTraits<foxtail::wire::RecordDeparture> {
+  static const CommandBody enum_value = CommandBody::RecordDeparture;
+};
+
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
 bool VerifyCommandBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<CommandBody> *types);
 
@@ -631,6 +644,151 @@
       packed_text__);
 }
 
+struct RecordDeparture FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordDepartureBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVICE = 6,
+    VT_ADDRESS = 8,
+    VT_ZONE = 10,
+    VT_SLOTS = 12,
+    VT_PHASE = 14,
+    VT_STARTED_AT_MS = 16,
+    VT_SEQUENCE = 18
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffsetRequired(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RecordDepartureBuilder {
+  typedef RecordDeparture Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(RecordDeparture::VT_ID, id);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RecordDeparture::VT_SERVICE, service);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(RecordDeparture::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(RecordDeparture::VT_ZONE, zone);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(RecordDeparture::VT_SLOTS, slots, 0);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(RecordDeparture::VT_PHASE, phase, 0);
+  }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(RecordDeparture::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RecordDeparture::VT_SEQUENCE, sequence, 0);
+  }
+  explicit RecordDepartureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordDeparture> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordDeparture>(end);
+    fbb_.Required(o, RecordDeparture::VT_ID);
+    fbb_.Required(o, RecordDeparture::VT_SERVICE);
+    fbb_.Required(o, RecordDeparture::VT_ADDRESS);
+    fbb_.Required(o, RecordDeparture::VT_ZONE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordDeparture> CreateRecordDeparture(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t slots = 0,
+    uint8_t phase = 0,
+    uint64_t started_at_ms = 0,
+    uint64_t sequence = 0) {
+  RecordDepartureBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_slots(slots);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RecordDeparture> CreateRecordDepartureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *service = nullptr,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    uint32_t slots = 0,
+    uint8_t phase = 0,
+    uint64_t started_at_ms = 0,
+    uint64_t sequence = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return foxtail::wire::CreateRecordDeparture(
+      _fbb,
+      id__,
+      service__,
+      address__,
+      zone__,
+      slots,
+      phase,
+      started_at_ms,
+      sequence);
+}
+
 struct Command FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -663,6 +821,9 @@
   const foxtail::wire::AdoptDocument *body_as_AdoptDocument() const {
     return body_type() == foxtail::wire::CommandBody::AdoptDocument ? static_cast<const foxtail::wire::AdoptDocument *>(body()) : nullptr;
   }
+  const foxtail::wire::RecordDeparture *body_as_RecordDeparture() const {
+    return body_type() == foxtail::wire::CommandBody::RecordDeparture ? static_cast<const foxtail::wire::RecordDeparture *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_TIME_MS, 8) &&
@@ -693,6 +854,10 @@
   return body_as_AdoptDocument();
 }
 
+template<> inline const foxtail::wire::RecordDeparture *Command::body_as<foxtail::wire::RecordDeparture>() const {
+  return body_as_RecordDeparture();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1091,6 +1256,59 @@
       body__);
 }
 
+struct DepartureRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DepartureRowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ANNOUNCEMENT = 4,
+    VT_RECORDED_AT_MS = 6
+  };
+  const foxtail::wire::RecordDeparture *announcement() const {
+    return GetPointer<const foxtail::wire::RecordDeparture *>(VT_ANNOUNCEMENT);
+  }
+  int64_t recorded_at_ms() const {
+    return GetField<int64_t>(VT_RECORDED_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ANNOUNCEMENT) &&
+           verifier.VerifyTable(announcement()) &&
+           VerifyField<int64_t>(verifier, VT_RECORDED_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct DepartureRowBuilder {
+  typedef DepartureRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_announcement(flatbuffers::Offset<foxtail::wire::RecordDeparture> announcement) {
+    fbb_.AddOffset(DepartureRow::VT_ANNOUNCEMENT, announcement);
+  }
+  void add_recorded_at_ms(int64_t recorded_at_ms) {
+    fbb_.AddElement<int64_t>(DepartureRow::VT_RECORDED_AT_MS, recorded_at_ms, 0);
+  }
+  explicit DepartureRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DepartureRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DepartureRow>(end);
+    fbb_.Required(o, DepartureRow::VT_ANNOUNCEMENT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DepartureRow> CreateDepartureRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<foxtail::wire::RecordDeparture> announcement = 0,
+    int64_t recorded_at_ms = 0) {
+  DepartureRowBuilder builder_(_fbb);
+  builder_.add_recorded_at_ms(recorded_at_ms);
+  builder_.add_announcement(announcement);
+  return builder_.Finish();
+}
+
 struct ControlSnapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ControlSnapshotBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1099,7 +1317,8 @@
     VT_TEXT = 8,
     VT_CHANGES = 10,
     VT_HISTORY = 12,
-    VT_CLAIMS = 14
+    VT_CLAIMS = 14,
+    VT_DEPARTURES = 16
   };
   int64_t log_time_ms() const {
     return GetField<int64_t>(VT_LOG_TIME_MS, 0);
@@ -1119,6 +1338,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>> *claims() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>> *>(VT_CLAIMS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *departures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *>(VT_DEPARTURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_LOG_TIME_MS, 8) &&
@@ -1134,6 +1356,9 @@
            VerifyOffsetRequired(verifier, VT_CLAIMS) &&
            verifier.VerifyVector(claims()) &&
            verifier.VerifyVectorOfTables(claims()) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
+           verifier.VerifyVectorOfTables(departures()) &&
            verifier.EndTable();
   }
 };
@@ -1160,6 +1385,9 @@
   void add_claims(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>>> claims) {
     fbb_.AddOffset(ControlSnapshot::VT_CLAIMS, claims);
   }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures) {
+    fbb_.AddOffset(ControlSnapshot::VT_DEPARTURES, departures);
+  }
   explicit ControlSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1182,10 +1410,12 @@
     flatbuffers::Offset<flatbuffers::String> text = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ChangeRow>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::HistoryRow>>> history = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>>> claims = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>>> claims = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures = 0) {
   ControlSnapshotBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_log_time_ms(log_time_ms);
+  builder_.add_departures(departures);
   builder_.add_claims(claims);
   builder_.add_history(history);
   builder_.add_changes(changes);
@@ -1200,11 +1430,13 @@
     const char *text = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::ChangeRow>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::HistoryRow>> *history = nullptr,
-    const std::vector<flatbuffers::Offset<foxtail::wire::ClaimRow>> *claims = nullptr) {
+    const std::vector<flatbuffers::Offset<foxtail::wire::ClaimRow>> *claims = nullptr,
+    const std::vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *departures = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::ChangeRow>>(*changes) : 0;
   auto history__ = history ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::HistoryRow>>(*history) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::ClaimRow>>(*claims) : 0;
+  auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::DepartureRow>>(*departures) : 0;
   return foxtail::wire::CreateControlSnapshot(
       _fbb,
       log_time_ms,
@@ -1212,7 +1444,8 @@
       text__,
       changes__,
       history__,
-      claims__);
+      claims__,
+      departures__);
 }
 
 struct ClaimFrameReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1447,6 +1680,10 @@
       auto ptr = reinterpret_cast<const foxtail::wire::AdoptDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::RecordDeparture: {
+      auto ptr = reinterpret_cast<const foxtail::wire::RecordDeparture *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -46,8 +46,11 @@
              std::make_unique<FileLogStorage>(settings_.dataFolder_),
              frames_,
              metrics_)
+  , commands_(control_, frames_, metrics_)
   , documents_(control_)
+  , departures_(control_, frames_, metrics_)
   , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed(), Now())
+  , servers_(feed_, departures_)
   , peers_(PeerFeedSettings(settings_), frames_, workers_.Context(0), *this)
   , trafficTimer_(workers_.Context(0))
 {
@@ -55,6 +58,9 @@
   control_.OnDocument([this](DocumentVersion aVersion,
                              const std::shared_ptr<const std::string>& aText,
                              bool) { feed_.OnDocument(aVersion, aText); });
+  control_.OnDeparture([this](const ServerAnnouncement& aDeparture) {
+    feed_.OnDeparture(aDeparture, Now());
+  });
   control_.OnMembership([this](const Membership& aMembership) {
     auto endpoints = EndpointsOf(aMembership.members_);
     PollPeers(endpoints);
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -1,9 +1,12 @@
 #ifndef EDGE_EDGECONTROL_H
 #define EDGE_EDGECONTROL_H
 
+#include "control/CommandServer.h"
+#include "control/DepartureLog.h"
 #include "control/VersionedDocumentService.h"
 #include "core/Metrics.h"
 #include "core/WorkerPool.h"
+#include "edge/ServerRegistration.h"
 #include "feed/FeedClient.h"
 #include "feed/FeedSource.h"
 #include "instance/FrameTransport.h"
@@ -27,9 +30,10 @@
 };
 
 /// A control instance: a member of the replicated log, the service that commits
-/// documents, the feed for entry instances, and a client that receives from
-/// other control instances the servers that announced themselves there. Start()
-/// and Stop() are called from one thread; all other functions are thread safe.
+/// documents, the feed for entry instances, the registration of backend
+/// servers, and a client that receives from other control instances the servers
+/// that announced themselves there. Start() and Stop() are called from one
+/// thread; all other functions are thread safe.
 class EdgeControl : private FeedListener
 {
 public:
@@ -47,6 +51,7 @@
 
   VersionedDocumentService& Documents() { return documents_; }
   FeedSource& Feed() { return feed_; }
+  ServerRegistration& Servers() { return servers_; }
   Metrics& GetMetrics() { return metrics_; }
   /// Worker pool, also for the HTTP servers of the same process.
   WorkerPool& Workers() { return workers_; }
@@ -79,8 +84,11 @@
   WorkerPool workers_;
   FrameTransport frames_;
   ReplicatedControl control_;
+  CommandServer commands_;
   VersionedDocumentService documents_;
+  DepartureLog departures_;
   FeedSource feed_;
+  ServerRegistration servers_;
   FeedClient peers_;
   boost::asio::steady_timer trafficTimer_;
 };
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -95,6 +95,30 @@
   return result;
 }
 
+void FeedSource::OnDeparture(const ServerAnnouncement& aDeparture,
+                             TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  const DirectoryUpdateResult result =
+    directory_.ApplyCommitted(aDeparture, aNow);
+  if (result != DirectoryUpdateResult::Changed) {
+    return;
+  }
+  LogLine(LogLevel::Info, "departure_applied")
+    .Add("server", aDeparture.id_)
+    .Add("phase", NameOf(aDeparture.phase_))
+    .Add("started_at_ms", aDeparture.startedAtMs_);
+  updatedByPeers_.insert(aDeparture.id_);
+  CompletePolls();
+}
+
+std::optional<ServerRecord> FeedSource::FindServer(const BackendId& aId)
+{
+  const std::lock_guard lock(mutex_);
+  const ServerRecord* record = directory_.Find(aId);
+  return record == nullptr ? std::nullopt : std::optional(*record);
+}
+
 void FeedSource::RecordDirectUpdate(const BackendId& aId)
 {
   updatedByPeers_.erase(aId);
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <prometheus/counter.h>
 #include <unordered_set>
 
@@ -48,6 +49,13 @@
                                          uint64_t aStartedAtMs,
                                          TimePoint aNow);
 
+  /// Applies a departure of a backend server that is in the replicated log.
+  /// Other control instances receive it through the log as well.
+  void OnDeparture(const ServerAnnouncement& aDeparture, TimePoint aNow);
+
+  /// @return a copy of the server's record.
+  std::optional<ServerRecord> FindServer(const BackendId& aId);
+
   /// Applies announcements that other control instances received.
   ///
   /// @param aDirectory all servers received from other control instances.
--- a/src/policy/ServerDirectory.cpp
+++ b/src/policy/ServerDirectory.cpp
@@ -30,7 +30,8 @@
          aLeft.startedAtMs_ == aRight.startedAtMs_;
 }
 
-/// Within one incarnation a deregistration is final, whatever arrives after it.
+} // namespace
+
 bool IsOlder(const ServerAnnouncement& aUpdate,
              const ServerAnnouncement& aStored)
 {
@@ -44,8 +45,6 @@
          aUpdate.sequence_ < aStored.sequence_;
 }
 
-} // namespace
-
 DirectoryUpdateResult ServerDirectory::Apply(
   const ServerAnnouncement& aAnnouncement,
   TimePoint aReceivedAt)
@@ -107,6 +106,20 @@
                    : DirectoryUpdateResult::Renewed;
 }
 
+DirectoryUpdateResult ServerDirectory::ApplyCommitted(
+  const ServerAnnouncement& aDeparture,
+  TimePoint aNow)
+{
+  const DirectoryUpdateResult result = Apply(aDeparture, aNow);
+  const auto found = rows_.find(aDeparture.id_);
+  if (found != rows_.end() &&
+      found->second.announcement_.startedAtMs_ == aDeparture.startedAtMs_ &&
+      found->second.announcement_.phase_ == aDeparture.phase_) {
+    found->second.isDepartureCommitted_ = true;
+  }
+  return result;
+}
+
 void ServerDirectory::Renew(const BackendId& aId,
                             uint64_t aSequence,
                             TimePoint aReceivedAt)
@@ -182,6 +195,7 @@
   aRow.lastAnnouncementAt_ = std::max(aRow.lastAnnouncementAt_, aReceivedAt);
   ++revision_;
   if (aIsChanged) {
+    aRow.isDepartureCommitted_ = false;
     aRow.changedAtRevision_ = revision_;
     changeRevision_ = revision_;
   }
--- a/src/policy/ServerDirectory.h
+++ b/src/policy/ServerDirectory.h
@@ -50,6 +50,12 @@
   uint64_t sequence_ = 0;
 };
 
+/// @return whether an announcement of a server is to be ignored in favour of a
+/// stored one: it belongs to an earlier process or has a lower sequence. Within
+/// one process a deregistration is final, whatever is received after it.
+bool IsOlder(const ServerAnnouncement& aUpdate,
+             const ServerAnnouncement& aStored);
+
 enum class DirectoryUpdateResult
 {
   /// A new server, or one with another phase, address or incarnation.
@@ -77,6 +83,8 @@
   TimePoint lastAnnouncementAt_{};
   /// Revision of the directory at which the record last changed.
   uint64_t changedAtRevision_ = 0;
+  /// Whether the present phase, Draining or Gone, is in the replicated log.
+  bool isDepartureCommitted_ = false;
 };
 
 /// Backend servers by their announcements, ordered by incarnation and sequence
@@ -104,6 +112,11 @@
                                    uint64_t aStartedAtMs,
                                    TimePoint aNow);
 
+  /// Applies a departure that is in the replicated log: an announcement whose
+  /// phase is Draining or Gone.
+  DirectoryUpdateResult ApplyCommitted(const ServerAnnouncement& aDeparture,
+                                       TimePoint aNow);
+
   /// Updates the last announcement time of a server whose announcement with
   /// this sequence another instance received.
   void Renew(const BackendId& aId, uint64_t aSequence, TimePoint aReceivedAt);
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -98,6 +98,45 @@
 
 } // namespace
 
+TEST_CASE(
+  "edge: a departure that no control group can commit is not acknowledged")
+{
+  // An acknowledgement from memory alone is lost with the process.
+  TemporaryFolder folder;
+  auto data = DataFolder::Open(folder.path_.string());
+  REQUIRE(data.ok());
+  EdgeControlSettings settings = ControlSettingsFor(folder, FreePort());
+  settings.mayBootstrap_ = false;
+  EdgeControl control(settings, *std::move(data), [] {});
+  REQUIRE(control.Start().ok());
+  const auto complete = [&](boost::asio::awaitable<absl::Status> aOperation) {
+    return boost::asio::co_spawn(control.Workers().Context(0),
+                                 std::move(aOperation),
+                                 boost::asio::use_future)
+      .get();
+  };
+  ServerAnnouncement announcement;
+  announcement.id_ = BackendId("i-1");
+  announcement.service_ = ServiceName("proofs");
+  announcement.address_ = "127.0.0.1:9";
+  announcement.startedAtMs_ = 5;
+  CHECK(complete(control.Servers().Announce(announcement, Now())).ok());
+  announcement.phase_ = ServerPhase::Draining;
+  announcement.sequence_ = 1;
+  const TimePoint begin = Now();
+  CHECK_FALSE(complete(control.Servers().Announce(announcement, Now())).ok());
+  // Backend servers wait 1 s for a reply.
+  CHECK(Now() - begin < seconds(1));
+  // The feed has it nevertheless.
+  CHECK(control.Feed().FindServer(announcement.id_)->announcement_.phase_ ==
+        ServerPhase::Draining);
+  CHECK_FALSE(
+    complete(control.Servers().Deregister(announcement.id_, 5, Now())).ok());
+  CHECK(KindOf(complete(control.Servers().Deregister(
+          BackendId("i-2"), 0, Now()))) == ErrorKind::NotFound);
+  control.Stop();
+}
+
 TEST_CASE(
   "edge: a committed document and an announced server make an entry instance "
   "serve requests until a graceful stop")
--- a/tests/policy/ServerDirectoryTest.cpp
+++ b/tests/policy/ServerDirectoryTest.cpp
@@ -172,6 +172,44 @@
   }
 }
 
+TEST_CASE("directory: a departure is committed until the server changes again")
+{
+  ServerDirectory directory;
+  const BackendId id("a");
+  const auto isCommitted = [&] {
+    return directory.Find(id)->isDepartureCommitted_;
+  };
+  directory.Apply(Announce("a", "1:1", 10, 3), kStart);
+  const auto draining = Announce("a", "1:1", 10, 4, ServerPhase::Draining);
+  directory.Apply(draining, kStart);
+  CHECK_FALSE(isCommitted());
+  CHECK(directory.ApplyCommitted(draining, kStart) ==
+        DirectoryUpdateResult::Renewed);
+  CHECK(isCommitted());
+  directory.Apply(Announce("a", "1:1", 10, 5, ServerPhase::Draining), kStart);
+  CHECK(isCommitted());
+  SUBCASE("a deregistration has to be committed as well")
+  {
+    directory.Deregister(id, 10, kStart);
+    CHECK_FALSE(isCommitted());
+  }
+  SUBCASE("a departure that is older than a new process does not apply to it")
+  {
+    directory.Apply(Announce("a", "1:1", 20, 1), kStart);
+    directory.ApplyCommitted(draining, kStart);
+    CHECK(PhaseOf(directory, "a") == ServerPhase::Ready);
+    CHECK_FALSE(isCommitted());
+  }
+  SUBCASE("a delayed announcement does not restore a server after a restart")
+  {
+    ServerDirectory restarted;
+    restarted.ApplyCommitted(draining, kStart);
+    CHECK(restarted.Apply(Announce("a", "1:1", 10, 3), kStart) ==
+          DirectoryUpdateResult::Stale);
+    CHECK(PhaseOf(restarted, "a") == ServerPhase::Draining);
+  }
+}
+
 TEST_CASE("directory: digests are equal for the same usable servers")
 {
   ServerDirectory one;
