forward: a stopping instance answers every request that it reads

Cause: a stopping instance kept connections with a part of a request, no longer ended them after header_timeout_ms, handled what completed late as always, and ended without answering what was in progress. Change: DecideWhileStopping (policy) refuses, as not run, what would probably not be answered in time; all requests in progress end with what is known 0.2 s before the process does; requests that have not arrived in full get 503 then. Why it works: nothing is passed on that has no time left, and the end of the stop is a response deadline like the caller's.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -18,6 +18,9 @@
 /// Interval at which a stopping instance checks whether its connections are
 /// closed.
 constexpr milliseconds kStopPollInterval{ 20 };
+/// Time between the last answers of a stopping instance and its end, in which
+/// they are written.
+constexpr milliseconds kLastAnswersTime{ 200 };
 
 } // namespace
 
@@ -207,17 +210,23 @@
 void EdgeInstance::Stop()
 {
   const TimePoint begin = Now();
+  const TimePoint end = begin + settings_.stopTimeout_;
+  // A short stop keeps half of its time for the requests in progress.
+  const milliseconds drainTime =
+    std::min(settings_.drainTime_, settings_.stopTimeout_ / 2);
   const Load before = GetLoad();
   LogLine(LogLevel::Info, "draining")
     .Add("requests", before.requests_)
     .Add("connections", before.connections_)
-    .Add("drain_ms", settings_.drainTime_.count());
+    .Add("drain_ms", drainTime.count());
   isDraining_ = true;
-  asio::post(workers_.Context(0), [this] { callers_.BeginDrain(); });
-  WaitFor([] { return false; }, begin + settings_.drainTime_);
+  asio::post(workers_.Context(0), [this, end] {
+    callers_.BeginDrain(end - kLastAnswersTime, Now());
+  });
+  WaitFor([] { return false; }, begin + drainTime);
   asio::post(workers_.Context(0), [this] { callers_.StopAccepting(); });
-  const bool isIdle = WaitFor([this] { return GetLoad().connections_ == 0; },
-                              begin + settings_.stopTimeout_);
+  const bool isIdle =
+    WaitFor([this] { return GetLoad().connections_ == 0; }, end);
   const Load after = GetLoad();
   LogLine(isIdle ? LogLevel::Info : LogLevel::Warning, "stopped")
     .Add("cut_requests", after.requests_)
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -46,8 +46,9 @@
 
   absl::Status Start();
   /// Graceful shutdown: reports that the instance is not ready, accepts
-  /// requests until load balancers have noticed, and finishes the requests in
-  /// flight.
+  /// requests until load balancers have noticed, and answers the requests in
+  /// flight: by their backend servers' replies, or at the end of the stop by
+  /// what is known of them.
   void Stop();
   /// Adds seeds. Thread safe.
   void SetSeeds(std::vector<std::string> aSeeds);
--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -72,6 +72,22 @@
   }
 }
 
+void CallerConnection::LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow)
+{
+  if (handler_ != nullptr) {
+    handler_->LimitAnswerTime(aAnswerBy, aNow);
+  }
+}
+
+void CallerConnection::RefuseIfIncomplete()
+{
+  if (phase_ == Phase::Reading) {
+    Refuse(static_cast<unsigned>(http::status::service_unavailable),
+           "this instance is stopping, and the request has not arrived in "
+           "full; send it again on a new connection");
+  }
+}
+
 void CallerConnection::StartParser()
 {
   const CallerLimits limits = port_.Limits();
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -29,6 +29,10 @@
   /// progress, has arrived and not been read, or may be on its way as the
   /// connection is new.
   void CloseIfUnused(TimePoint aNow);
+  /// Limits the time of the request in progress, as the instance is stopping.
+  void LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow);
+  /// Refuses a request that has not arrived in full.
+  void RefuseIfIncomplete();
   void Close();
 
 private:
--- a/src/forward/CallerPort.cpp
+++ b/src/forward/CallerPort.cpp
@@ -116,6 +116,17 @@
   });
 }
 
+void CallerPort::BeginDrain(TimePoint aAnswerBy, TimePoint aNow)
+{
+  isDraining_ = true;
+  answerBy_ = aAnswerBy;
+  gateway_.BeginStop(aAnswerBy);
+  const auto connections = connections_;
+  for (const auto& connection : connections) {
+    connection->LimitAnswerTime(aAnswerBy, aNow);
+  }
+}
+
 void CallerPort::StopAccepting()
 {
   isStopped_ = true;
@@ -128,9 +139,14 @@
 void CallerPort::CloseUnused()
 {
   const TimePoint now = Now();
+  const CallerLimits limits = Limits();
   const auto connections = connections_;
   for (const auto& connection : connections) {
+    connection->CloseIfTimedOut(limits, now);
     connection->CloseIfUnused(now);
+    if (now >= answerBy_) {
+      connection->RefuseIfIncomplete();
+    }
   }
   if (connections_.empty()) {
     return;
--- a/src/forward/CallerPort.h
+++ b/src/forward/CallerPort.h
@@ -39,8 +39,10 @@
   absl::Status Start();
   uint16_t Port() const;
 
-  /// Closes each connection after its next answer from now on.
-  void BeginDrain() { isDraining_ = true; }
+  /// Closes each connection after its next answer from now on. Every request
+  /// that is read has an answer by @p aAnswerBy: requests that would probably
+  /// not have one are refused, and those in progress end with what they have.
+  void BeginDrain(TimePoint aAnswerBy, TimePoint aNow);
   /// Stops accepting connections and closes the idle ones. Requests on
   /// connections that were established before are still answered.
   void StopAccepting();
@@ -60,8 +62,9 @@
   /// Accepts the connections that wait in the listener's queue, as closing the
   /// listener resets them.
   void AcceptQueued();
-  /// Closes the connections of a stopping instance that have no request, now
-  /// and periodically until none is left.
+  /// Closes the connections of a stopping instance that have no request, and
+  /// refuses requests that have not arrived in time, now and periodically until
+  /// no connection is left.
   void CloseUnused();
   void ScheduleSweep();
   CallerLimits Limits() const;
@@ -74,6 +77,7 @@
   std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
   size_t requestsInFlight_ = 0;
   bool isDraining_ = false;
+  TimePoint answerBy_ = TimePoint::max();
   bool isStopped_ = false;
   prometheus::Counter& requestsTotal_;
   prometheus::Counter& callerDisconnects_;
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "core/Metrics.h"
 #include "forward/GatherRequestHandler.h"
 #include "forward/SingleRequestHandler.h"
+#include "policy/StopDecision.h"
 
 #include <algorithm>
 
@@ -100,6 +101,9 @@
   , quarantineRefusals_(aMetrics.Counter(
       "foxtail_forward_quarantine_refusals_total",
       "Requests refused because servers have crashed under them"))
+  , stopRefusals_(aMetrics.Counter(
+      "foxtail_forward_stop_refusals_total",
+      "Requests refused because the instance stops before their answer"))
   , tickTimer_(aContext)
 {
   pools_.SetInstances(instances_, TimePoint{});
@@ -277,6 +281,14 @@
       "no route matches this host and path; check the document"));
     return nullptr;
   }
+  if (IsTooLateForStop(*route, aRequest, aNow)) {
+    aOnComplete(MakeLocalAnswer(
+      AnswerSource::NotRun,
+      kUnavailable,
+      "this instance is stopping; send the request again on a new connection",
+      settings_.retryAfter_));
+    return nullptr;
+  }
   const auto quarantine = pools_.Crashes().Find(aRequest.fingerprint_, aNow);
   if (quarantine && quarantine->treatment_ == SuspectTreatment::Refuse) {
     RefuseQuarantined(aRequest, quarantine->until_, aOnComplete, aNow);
@@ -291,6 +303,33 @@
   return handler->IsDone() ? nullptr : handler;
 }
 
+bool Gateway::IsTooLateForStop(const Route& aRoute,
+                               const ForwardRequest& aRequest,
+                               TimePoint aNow)
+{
+  if (context_.answerBy_ == TimePoint::max()) {
+    return false;
+  }
+  constexpr double kHighQuantile = 0.95;
+  StoppingRequest stopping;
+  stopping.answerBy_ = context_.answerBy_;
+  stopping.deadline_ = aRequest.deadline_;
+  stopping.objective_ = aRoute.objective_;
+  stopping.usualLatency_ =
+    StatsOf(aRoute).attemptLatency_.Quantile(kHighQuantile);
+  stopping.isIdempotent_ = aRoute.effect_ == RouteEffect::Idempotent;
+  if (DecideWhileStopping(stopping, aNow) == StopDecision::Serve) {
+    return false;
+  }
+  stopRefusals_.Increment();
+  LogLine(LogLevel::Info, "request_refused_stopping")
+    .Add("request", aRequest.id_)
+    .Add("route", aRoute.name_)
+    .Add("usual_ms", ToMilliseconds(stopping.usualLatency_))
+    .Add("left_ms", ToMilliseconds(stopping.answerBy_ - aNow));
+  return true;
+}
+
 void Gateway::RefuseQuarantined(
   const ForwardRequest& aRequest,
   TimePoint aUntil,
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -57,6 +57,11 @@
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
 
+  /// Begins a planned stop: requests that begin later are refused unless they
+  /// are likely to be answered by @p aAnswerBy, and all are answered by then.
+  /// Those in progress are limited by their connections.
+  void BeginStop(TimePoint aAnswerBy) { context_.answerBy_ = aAnswerBy; }
+
   /// @return which requests are not sent as they crash backend servers.
   CrashMonitor& Crashes() { return pools_.Crashes(); }
 
@@ -90,6 +95,10 @@
                          TimePoint aUntil,
                          const RequestHandler::CompletionCallback& aOnComplete,
                          TimePoint aNow);
+  /// @return whether a stopping instance refuses the request.
+  bool IsTooLateForStop(const Route& aRoute,
+                        const ForwardRequest& aRequest,
+                        TimePoint aNow);
   void ReleaseHeld(TimePoint aNow);
   ExtraAttemptBudget& BudgetOf(const ServiceName& aService);
   RouteStats& StatsOf(const Route& aRoute);
@@ -118,6 +127,7 @@
   PauseDetector pauseDetector_;
   prometheus::Counter& heldTotal_;
   prometheus::Counter& quarantineRefusals_;
+  prometheus::Counter& stopRefusals_;
   boost::asio::steady_timer tickTimer_;
   TimePoint startedAt_{};
   TimePoint nextTrafficLogAt_{};
--- a/src/forward/HeldRequests.cpp
+++ b/src/forward/HeldRequests.cpp
@@ -35,6 +35,14 @@
   }
 }
 
+void HeldRequest::LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow)
+{
+  until_ = std::min(until_, aAnswerBy);
+  if (handler_ != nullptr) {
+    handler_->LimitAnswerTime(aAnswerBy, aNow);
+  }
+}
+
 void HeldRequest::Release(TimePoint aNow)
 {
   LogLine(LogLevel::Info, "request_released")
--- a/src/forward/HeldRequests.h
+++ b/src/forward/HeldRequests.h
@@ -23,6 +23,7 @@
   HeldRequest(ForwardRequest aRequest, TimePoint aUntil, BeginCallback aBegin);
 
   void OnCallerDisconnected(TimePoint aNow) override;
+  void LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow) override;
 
   const ForwardRequest& Request() const { return request_; }
   TimePoint Until() const { return until_; }
@@ -32,7 +33,7 @@
 
 private:
   ForwardRequest request_;
-  const TimePoint until_;
+  TimePoint until_;
   BeginCallback begin_;
   std::shared_ptr<PendingRequest> handler_;
   bool isAbandoned_ = false;
--- a/src/forward/PendingRequest.h
+++ b/src/forward/PendingRequest.h
@@ -13,6 +13,9 @@
   /// Abandons the request without an answer, because the caller has closed its
   /// connection.
   virtual void OnCallerDisconnected(TimePoint aNow) = 0;
+  /// Ends the request with what it has by @p aAnswerBy, as the instance is
+  /// stopping.
+  virtual void LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow) = 0;
 };
 
 } // namespace foxtail
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -74,9 +74,10 @@
   , route_(aRoute)
   , stats_(aStats)
   , request_(std::move(aRequest))
-  , responseDeadline_(
+  , responseDeadline_(std::min(
       std::min(request_->deadline_, request_->startedAt_ + aRoute.timeout_) -
-      request_->returnDelay_ - aContext.settings_.answerTiming_.margin_)
+        request_->returnDelay_ - aContext.settings_.answerTiming_.margin_,
+      aContext.answerBy_))
   , onComplete_(std::move(aOnComplete))
 {
 }
@@ -401,6 +402,14 @@
     .Add("after_ms", ToMilliseconds(aNow - request_->startedAt_));
 }
 
+void RequestHandler::LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow)
+{
+  responseDeadline_ = std::min(responseDeadline_, aAnswerBy);
+  if (!isDone_) {
+    ScheduleTimer(aNow);
+  }
+}
+
 bool RequestHandler::MayHaveRun()
 {
   for (const ServiceAttempts& attempts : AllAttempts()) {
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -73,6 +73,8 @@
   TimerQueue& timers_;
   LinkBacklog& link_;
   std::function<ExtraAttemptBudget&(const ServiceName&)> budgetOf_;
+  /// Time by which an instance that is stopping sends its last answers.
+  TimePoint answerBy_ = TimePoint::max();
 };
 
 /// Handles one request: sends it to backend servers, with retries and hedges,
@@ -97,6 +99,7 @@
   virtual void Start(TimePoint aNow) = 0;
   /// Abandons all outstanding attempts.
   void OnCallerDisconnected(TimePoint aNow) final;
+  void LimitAnswerTime(TimePoint aAnswerBy, TimePoint aNow) final;
   bool IsDone() const { return isDone_; }
 
   void OnTimer(TimePoint aNow) final;
@@ -231,7 +234,8 @@
   RouteStats& stats_;
   const std::shared_ptr<const ForwardRequest> request_;
   /// Latest time at which the final answer is sent, so that it reaches the
-  /// caller within its deadline and the route's timeout.
+  /// caller within its deadline and the route's timeout, and before a stopping
+  /// instance ends.
   TimePoint responseDeadline_;
   uint32_t hedges_ = 0;
   uint32_t retries_ = 0;
--- a/tests/forward/CallerPortTest.cpp
+++ b/tests/forward/CallerPortTest.cpp
@@ -1,3 +1,4 @@
+#include "../Support.h"
 #include "ForwardFixture.h"
 
 #include <boost/asio/read.hpp>
@@ -99,7 +100,7 @@
         caller->Send(kRequest.substr(0, row.bytesAtOnce_));
       }
       std::this_thread::sleep_for(milliseconds(20));
-      fixture.Callers().BeginDrain();
+      fixture.Callers().BeginDrain(Now() + seconds(5), Now());
       fixture.Callers().StopAccepting();
     });
     std::this_thread::sleep_for(milliseconds(30));
@@ -128,13 +129,83 @@
   std::this_thread::sleep_for(milliseconds(20));
   const TimePoint start = Now();
   fixture.RunOnGatewayThread([&] {
-    fixture.Callers().BeginDrain();
+    fixture.Callers().BeginDrain(Now() + seconds(5), Now());
     fixture.Callers().StopAccepting();
   });
   CHECK(caller.ReadAll().empty());
   CHECK(Now() - start < milliseconds(500));
 }
 
+// Requests that arrived slowly, late in a stop, were passed on and cut with the
+// process at its end.
+TEST_CASE("a stopping instance refuses requests that it cannot answer in time")
+{
+  ScriptedServer server(OwnReply());
+  ForwardFixture fixture;
+  fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce));
+  fixture.Announce("i-1", "proofs", server.Address());
+  struct Row
+  {
+    const char* name_;
+    milliseconds restAfter_;
+    const char* status_;
+  };
+  // The route's objective is 200 ms, and it is for actions.
+  const Row rows[] = {
+    { "complete with enough time left", milliseconds(100), "200" },
+    { "complete too late", milliseconds(600), "503" },
+    { "never complete", milliseconds(5000), "503" },
+  };
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    callers.push_back(std::make_unique<Caller>(fixture));
+    callers.back()->Send(kRequest.substr(0, 20));
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  const TimePoint begin = Now();
+  const TimePoint answerBy = begin + milliseconds(900);
+  fixture.RunOnGatewayThread([&] {
+    fixture.Callers().BeginDrain(answerBy, Now());
+    fixture.Callers().StopAccepting();
+  });
+  for (size_t i = 0; i < callers.size(); ++i) {
+    CAPTURE(rows[i].name_);
+    if (begin + rows[i].restAfter_ < answerBy) {
+      std::this_thread::sleep_until(begin + rows[i].restAfter_);
+      callers[i]->Send(kRequest.substr(20));
+    }
+    const std::string answer = callers[i]->ReadAll();
+    CHECK(answer.substr(9, 3) == rows[i].status_);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+  CHECK(Now() < answerBy + milliseconds(200));
+  CHECK(server.Requests().size() == 1);
+}
+
+TEST_CASE("a stopping instance answers requests whose work outlasts the stop")
+{
+  ScriptedServer server([](const std::string&, size_t) {
+    ScriptedReply reply;
+    reply.isSilent_ = true;
+    return reply;
+  });
+  ForwardFixture fixture;
+  fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce));
+  fixture.Announce("i-1", "proofs", server.Address());
+  Caller caller(fixture);
+  caller.Send(kRequest);
+  REQUIRE(WaitUntil([&] { return server.Requests().size() == 1; }));
+  fixture.RunOnGatewayThread([&] {
+    fixture.Callers().BeginDrain(Now() + milliseconds(300), Now());
+    fixture.Callers().StopAccepting();
+  });
+  const TimePoint begin = Now();
+  // The outcome of the action is unknown.
+  CHECK(caller.ReadAll().starts_with("HTTP/1.1 504"));
+  CHECK(Now() - begin < milliseconds(600));
+}
+
 TEST_CASE("a process that was paused does not run a request whose time is over")
 {
   ScriptedServer server(OwnReply());
