core: members of one name are found in linear time

Cause: ParseJson compared each member's name with all names before it, on the one thread of the process. Evidence: a test of ParseJson alone did not end in 100 s. Change: the names of an object are kept in a hash set of views. Test: test_core '*many members*' was ended after 100 s before, and passes within the 1 s that senders wait for a reply; test_core 13 of 13.

--- a/src/core/JsonReader.cpp
+++ b/src/core/JsonReader.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <fstream>
 #include <sstream>
+#include <unordered_set>
 
 namespace foxtail {
 namespace {
@@ -255,7 +256,8 @@
 
   bool HasDuplicate()
   {
-    std::vector<std::vector<std::string>> names;
+    // Sets, because an object may have hundreds of thousands of members.
+    std::vector<std::unordered_set<std::string_view>> names;
     for (size_t i = 0; i < text_.size(); ++i) {
       const char c = text_[i];
       if (c == '{') {
@@ -263,9 +265,9 @@
       } else if (c == '}' && !names.empty()) {
         names.pop_back();
       } else if (c == '"') {
-        std::string name = ReadString(i);
+        const std::string_view name = ReadString(i);
         if (IsMemberName(i) && !names.empty() &&
-            !AddIfNew(names.back(), std::move(name))) {
+            !names.back().insert(name).second) {
           return true;
         }
       }
@@ -276,7 +278,7 @@
 private:
   // Reads the string that starts at aIndex and leaves aIndex on the closing
   // quote.
-  std::string ReadString(size_t& aIndex) const
+  std::string_view ReadString(size_t& aIndex) const
   {
     const size_t start = aIndex;
     for (++aIndex; aIndex < text_.size() && text_[aIndex] != '"'; ++aIndex) {
@@ -284,7 +286,7 @@
         ++aIndex;
       }
     }
-    return std::string(text_.substr(start, aIndex - start));
+    return text_.substr(start, aIndex - start);
   }
 
   bool IsMemberName(size_t aClosingQuote) const
@@ -293,16 +295,6 @@
     return next != std::string_view::npos && text_[next] == ':';
   }
 
-  // Returns false when aNames already holds aName.
-  static bool AddIfNew(std::vector<std::string>& aNames, std::string aName)
-  {
-    if (std::find(aNames.begin(), aNames.end(), aName) != aNames.end()) {
-      return false;
-    }
-    aNames.push_back(std::move(aName));
-    return true;
-  }
-
   std::string_view text_;
 };
 
--- a/tests/core/CoreTest.cpp
+++ b/tests/core/CoreTest.cpp
@@ -52,6 +52,24 @@
   }
 }
 
+// One object with many members, sent by anybody, blocked the process that read
+// it for minutes.
+TEST_CASE("ParseJson reads an object with many members within a second")
+{
+  constexpr int kMembers = 300000;
+  std::string text = "{";
+  for (int i = 0; i < kMembers; ++i) {
+    text += "\"m" + std::to_string(i) + "\":0,";
+  }
+  const TimePoint begin = Now();
+  CHECK(ParseJson(text + "\"last\":0}", "the text", ErrorKind::InvalidRequest)
+          .ok());
+  // Senders of announcements and orders wait this long for a reply.
+  CHECK(Now() - begin < seconds(1));
+  CHECK_FALSE(
+    ParseJson(text + "\"m0\":0}", "the text", ErrorKind::InvalidRequest).ok());
+}
+
 TEST_CASE(
   "ParseJson rejects deep nesting, duplicate members and malformed text")
 {
