policy: announcements of backend servers are bounded

Cause: announcements are ordered by their start and sequence, which were any 64-bit numbers; slots and warm-up wrapped, and texts had any length up to 8 MB. Why it works: no announcement can be ahead of a sound server's next start by more than the difference of clocks.

--- a/src/edge/ServerRegistration.cpp
+++ b/src/edge/ServerRegistration.cpp
@@ -29,8 +29,12 @@
 
 boost::asio::awaitable<absl::Status> ServerRegistration::Announce(
   ServerAnnouncement aAnnouncement,
+  WallTime aWallNow,
   TimePoint aNow)
 {
+  if (auto status = Validate(aAnnouncement, aWallNow); !status.ok()) {
+    co_return status;
+  }
   const auto result = feed_.OnAnnouncement(aAnnouncement, aNow);
   if (result != DirectoryUpdateResult::Renewed) {
     LogLine(LogLevel::Info, "announcement")
@@ -54,8 +58,15 @@
 boost::asio::awaitable<absl::Status> ServerRegistration::Deregister(
   BackendId aId,
   uint64_t aStartedAtMs,
+  WallTime aWallNow,
   TimePoint aNow)
 {
+  ServerAnnouncement stated;
+  stated.id_ = aId;
+  stated.startedAtMs_ = aStartedAtMs;
+  if (auto status = Validate(stated, aWallNow); !status.ok()) {
+    co_return status;
+  }
   const auto result = feed_.OnDeregistration(aId, aStartedAtMs, aNow);
   LogLine(LogLevel::Info, "goodbye")
     .Add("server", aId)
--- a/src/edge/ServerRegistration.h
+++ b/src/edge/ServerRegistration.h
@@ -16,12 +16,11 @@
 public:
   ServerRegistration(FeedSource& aFeed, DepartureLog& aDepartures);
 
-  /// @return Ok when the announcement may be acknowledged. An error means that
-  /// a departure is not confirmed to be committed; the server sends it again to
-  /// any control instance.
-  boost::asio::awaitable<absl::Status> Announce(
-    ServerAnnouncement aAnnouncement,
-    TimePoint aNow);
+  /// @return Ok when the announcement may be acknowledged; InvalidRequest when
+  /// it is refused. Another error means that a departure is not confirmed to be
+  /// committed; the server sends it again to any control instance.
+  boost::asio::awaitable<absl::Status>
+  Announce(ServerAnnouncement aAnnouncement, WallTime aWallNow, TimePoint aNow);
 
   /// @param aStartedAtMs start of the server's process in milliseconds since
   /// the Unix epoch; 0 when the deregistration does not state it.
@@ -29,6 +28,7 @@
   /// instance has no announcement of the server.
   boost::asio::awaitable<absl::Status> Deregister(BackendId aId,
                                                   uint64_t aStartedAtMs,
+                                                  WallTime aWallNow,
                                                   TimePoint aNow);
 
 private:
--- a/src/policy/ServerDirectory.cpp
+++ b/src/policy/ServerDirectory.cpp
@@ -1,11 +1,28 @@
 #include "policy/ServerDirectory.h"
 
+#include "core/Error.h"
+
 #include <algorithm>
+#include <array>
+#include <limits>
 #include <xxhash.h>
 
 namespace foxtail {
 namespace {
 
+constexpr size_t kMaxTextBytes = 256;
+constexpr uint32_t kMaxSlots = 65536;
+constexpr uint64_t kMaxSequence = std::numeric_limits<int64_t>::max();
+constexpr std::chrono::hours kMaxWarmup{ 1 };
+/// Clocks of machines differ, and may jump by seconds.
+constexpr std::chrono::hours kMaxClockDifference{ 1 };
+
+absl::Status InvalidAnnouncement(const std::string& aReason)
+{
+  return MakeError(ErrorKind::InvalidRequest,
+                   "announcement rejected: " + aReason);
+}
+
 uint64_t ContentHash(const ServerAnnouncement& aAnnouncement)
 {
   const bool isUnset = aAnnouncement.id_.Value().empty();
@@ -32,6 +49,43 @@
 
 } // namespace
 
+absl::Status Validate(const ServerAnnouncement& aAnnouncement,
+                      WallTime aWallNow)
+{
+  const std::array<std::pair<const char*, const std::string*>, 4> texts{
+    { { "id", &aAnnouncement.id_.Value() },
+      { "service", &aAnnouncement.service_.Value() },
+      { "address", &aAnnouncement.address_ },
+      { "zone", &aAnnouncement.zone_.Value() } }
+  };
+  for (const auto& [name, text] : texts) {
+    if (text->size() > kMaxTextBytes) {
+      return InvalidAnnouncement(
+        std::string(name) + " has " + std::to_string(text->size()) +
+        " bytes; give at most " + std::to_string(kMaxTextBytes));
+    }
+  }
+  if (aAnnouncement.slots_ > kMaxSlots) {
+    return InvalidAnnouncement("slots are " +
+                               std::to_string(aAnnouncement.slots_) +
+                               "; give at most " + std::to_string(kMaxSlots));
+  }
+  if (aAnnouncement.sequence_ > kMaxSequence) {
+    return InvalidAnnouncement("the sequence is above 2^63 - 1");
+  }
+  if (aAnnouncement.warmupLeft_ < milliseconds(0) ||
+      aAnnouncement.warmupLeft_ > kMaxWarmup) {
+    return InvalidAnnouncement("the warm-up takes longer than an hour");
+  }
+  const auto latestStart = duration_cast<milliseconds>(
+    (aWallNow + kMaxClockDifference).time_since_epoch());
+  if (aAnnouncement.startedAtMs_ > static_cast<uint64_t>(latestStart.count())) {
+    return InvalidAnnouncement("the start is in the future; give milliseconds "
+                               "since the Unix epoch and check the clock");
+  }
+  return absl::OkStatus();
+}
+
 bool IsOlder(const ServerAnnouncement& aUpdate,
              const ServerAnnouncement& aStored)
 {
--- a/src/policy/ServerDirectory.h
+++ b/src/policy/ServerDirectory.h
@@ -5,6 +5,7 @@
 #include "core/Ids.h"
 #include "core/Time.h"
 
+#include <absl/status/status.h>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,15 @@
   uint64_t sequence_ = 0;
 };
 
+/// Checks what a server announces of itself. An announcement may come from
+/// anybody, and is kept and passed on by each control and entry instance, so
+/// one of any size, or with a start that no later process can exceed, must not
+/// get in.
+///
+/// @return InvalidRequest when a text is too long or a number out of range.
+absl::Status Validate(const ServerAnnouncement& aAnnouncement,
+                      WallTime aWallNow);
+
 /// @return whether an announcement of a server is to be ignored in favour of a
 /// stored one: it belongs to an earlier process or has a lower sequence. Within
 /// one process a deregistration is final, whatever is received after it.
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 const HeaderNames kHeaderNames;
+const WallTime kWallNow{ seconds(1800000000) };
 
 FrameTransportSettings FrameSettings(const char* aName)
 {
@@ -120,20 +121,23 @@
   announcement.service_ = ServiceName("proofs");
   announcement.address_ = "127.0.0.1:9";
   announcement.startedAtMs_ = 5;
-  CHECK(complete(control.Servers().Announce(announcement, Now())).ok());
+  CHECK(
+    complete(control.Servers().Announce(announcement, kWallNow, Now())).ok());
   announcement.phase_ = ServerPhase::Draining;
   announcement.sequence_ = 1;
   const TimePoint begin = Now();
-  CHECK_FALSE(complete(control.Servers().Announce(announcement, Now())).ok());
+  CHECK_FALSE(
+    complete(control.Servers().Announce(announcement, kWallNow, Now())).ok());
   // Backend servers wait 1 s for a reply.
   CHECK(Now() - begin < seconds(1));
   // The feed has it nevertheless.
   CHECK(control.Feed().FindServer(announcement.id_)->announcement_.phase_ ==
         ServerPhase::Draining);
   CHECK_FALSE(
-    complete(control.Servers().Deregister(announcement.id_, 5, Now())).ok());
+    complete(control.Servers().Deregister(announcement.id_, 5, kWallNow, Now()))
+      .ok());
   CHECK(KindOf(complete(control.Servers().Deregister(
-          BackendId("i-2"), 0, Now()))) == ErrorKind::NotFound);
+          BackendId("i-2"), 0, kWallNow, Now()))) == ErrorKind::NotFound);
   control.Stop();
 }
 
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -169,6 +169,29 @@
   CHECK_FALSE(DecodeHeartbeat("", kHeartbeat).ok());
 }
 
+TEST_CASE("heartbeat: numbers beyond their types do not wrap to usable ones")
+{
+  const auto slots = DecodeHeartbeat(
+    "i-1", With(kHeartbeat, "\"slots\":3", "\"slots\":4294967299"));
+  REQUIRE(slots.ok());
+  CHECK_FALSE(Validate(*slots, WallTime{ seconds(1) }).ok());
+  const auto warmup =
+    DecodeHeartbeat("i-1",
+                    With(kHeartbeat,
+                         "\"warmup_left_ms\":40",
+                         "\"warmup_left_ms\":18446744073709551615"));
+  REQUIRE(warmup.ok());
+  CHECK_FALSE(Validate(*warmup, WallTime{ seconds(1) }).ok());
+  for (const char* number : { "1e400", "18446744073709551616", "-1" }) {
+    CAPTURE(number);
+    CHECK_FALSE(
+      DecodeHeartbeat(
+        "i-1",
+        With(kHeartbeat, "\"slots\":3", std::string("\"slots\":") + number))
+        .ok());
+  }
+}
+
 TEST_CASE("deregistration: a body without a start time decodes to 0")
 {
   CHECK(DecodeDeregister("") == 0);
--- a/tests/policy/ServerDirectoryTest.cpp
+++ b/tests/policy/ServerDirectoryTest.cpp
@@ -210,6 +210,58 @@
   }
 }
 
+// Processes that keep the list of servers ended, or stopped following it,
+// because of one odd entry.
+TEST_CASE("directory: odd announcements are rejected")
+{
+  const WallTime wallNow{ seconds(1800000000) };
+  const uint64_t nowMs = 1800000000000;
+  const auto sound = Announce("a", "127.0.0.1:1", nowMs, 3);
+  CHECK(Validate(sound, wallNow).ok());
+  using Change = void (*)(ServerAnnouncement&);
+  struct Row
+  {
+    const char* name_;
+    Change change_;
+  };
+  const Row rows[] = {
+    { "a long id",
+      [](ServerAnnouncement& aRow) {
+        aRow.id_ = BackendId(std::string(257, 'i'));
+      } },
+    { "a long service",
+      [](ServerAnnouncement& aRow) {
+        aRow.service_ = ServiceName(std::string(257, 's'));
+      } },
+    { "a long zone",
+      [](ServerAnnouncement& aRow) {
+        aRow.zone_ = ZoneName(std::string(257, 'z'));
+      } },
+    { "a long address",
+      [](ServerAnnouncement& aRow) { aRow.address_ = std::string(257, '1'); } },
+    { "too many slots", [](ServerAnnouncement& aRow) { aRow.slots_ = 65537; } },
+    { "a sequence beyond 63 bits",
+      [](ServerAnnouncement& aRow) { aRow.sequence_ = 1ULL << 63; } },
+    { "a warm-up of hours",
+      [](ServerAnnouncement& aRow) { aRow.warmupLeft_ = seconds(3601); } },
+    { "a negative warm-up",
+      [](ServerAnnouncement& aRow) { aRow.warmupLeft_ = milliseconds(-1); } },
+    { "a start in the future",
+      [](ServerAnnouncement& aRow) { aRow.startedAtMs_ += 3600001; } },
+    { "a start beyond 63 bits",
+      [](ServerAnnouncement& aRow) { aRow.startedAtMs_ = 1ULL << 63; } },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    ServerAnnouncement announcement = sound;
+    row.change_(announcement);
+    CHECK_FALSE(Validate(announcement, wallNow).ok());
+  }
+  ServerAnnouncement ahead = sound;
+  ahead.startedAtMs_ += 3600000;
+  CHECK(Validate(ahead, wallNow).ok());
+}
+
 TEST_CASE("directory: digests are equal for the same usable servers")
 {
   ServerDirectory one;
