feed: silence alone does not make an instance forget its control instances

Cause: a source was removed 30 s after its last reply or listing, and lists are sent only when they change; with all sources silent none was left to poll. Change: ShouldForgetSource (policy): only when others reply, none of them lists it and the settings do not name it. Each source's last list is kept. Lines following_nobody and control_forgotten.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -52,6 +52,7 @@
   , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed(), Now())
   , servers_(feed_, departures_)
   , peers_(PeerFeedSettings(settings_), frames_, workers_.Context(0), *this)
+  , seeds_(EndpointsOf(settings_.control_.seeds_))
   , trafficTimer_(workers_.Context(0))
 {
   control_.OnFailure(std::move(aOnFailure));
@@ -63,7 +64,7 @@
   });
   control_.OnMembership([this](const Membership& aMembership) {
     auto endpoints = EndpointsOf(aMembership.members_);
-    PollPeers(endpoints);
+    PollPeers(&EdgeControl::members_, endpoints);
     feed_.OnControlInstances(std::move(endpoints));
   });
 }
@@ -101,15 +102,19 @@
 
 void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
 {
-  PollPeers(EndpointsOf(aSeeds));
+  PollPeers(&EdgeControl::seeds_, EndpointsOf(aSeeds));
   control_.SetSeeds(std::move(aSeeds));
 }
 
-void EdgeControl::PollPeers(std::vector<std::string> aEndpoints)
+void EdgeControl::PollPeers(std::vector<std::string> EdgeControl::*aList,
+                            std::vector<std::string> aEndpoints)
 {
   boost::asio::post(workers_.Context(0),
-                    [this, endpoints = std::move(aEndpoints)] {
-                      peers_.SetSeeds(endpoints, Now());
+                    [this, aList, endpoints = std::move(aEndpoints)]() mutable {
+                      this->*aList = std::move(endpoints);
+                      std::vector<std::string> all = seeds_;
+                      all.insert(all.end(), members_.begin(), members_.end());
+                      peers_.SetSeeds(all, Now());
                     });
 }
 
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -46,7 +46,7 @@
   absl::Status Start();
   /// Transfers leadership and stops.
   void Stop();
-  /// Sets the seeds.
+  /// Replaces the seeds.
   void SetSeeds(std::vector<ControlPeer> aSeeds);
 
   VersionedDocumentService& Documents() { return documents_; }
@@ -73,9 +73,10 @@
     return {};
   }
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
-  /// Polls other control instances for the servers that announced themselves
-  /// there. Thread safe.
-  void PollPeers(std::vector<std::string> aEndpoints);
+  /// Polls the seeds and the members for the servers that announced themselves
+  /// there, after one of the lists has changed. Thread safe.
+  void PollPeers(std::vector<std::string> EdgeControl::*aList,
+                 std::vector<std::string> aEndpoints);
   /// Schedules the next log line of the bytes sent to other instances, by kind.
   void ScheduleTrafficLog();
 
@@ -90,6 +91,9 @@
   FeedSource feed_;
   ServerRegistration servers_;
   FeedClient peers_;
+  /// Frame endpoints of other control instances; used on worker 0.
+  std::vector<std::string> seeds_;
+  std::vector<std::string> members_;
   boost::asio::steady_timer trafficTimer_;
 };
 
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -175,7 +175,17 @@
 {
   const bool isReady = feed_.IsReady(aNow);
   isReady_ = isReady;
-  sourcesGauge_.Set(static_cast<double>(feed_.LiveSources(aNow)));
+  const size_t liveSources = feed_.LiveSources(aNow);
+  sourcesGauge_.Set(static_cast<double>(liveSources));
+  if (const bool isFollowing = liveSources > 0; isFollowing != wasFollowing_) {
+    wasFollowing_ = isFollowing;
+    // A zone that is cut off goes on serving, so readiness does not change.
+    LogLine(isFollowing ? LogLevel::Info : LogLevel::Warning,
+            isFollowing ? "following_control" : "following_nobody")
+      .Add("document", feed_.Version())
+      .Add("sources", feed_.SourceCount())
+      .Add("ready", isReady);
+  }
   droppedLinesGauge_.Set(static_cast<double>(DroppedLogLines()));
   if (isReady != wasReady_) {
     wasReady_ = isReady;
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -104,6 +104,7 @@
   std::atomic<bool> isDraining_{ false };
   std::atomic<bool> isReady_{ false };
   bool wasReady_ = false;
+  bool wasFollowing_ = false;
   prometheus::Gauge& versionGauge_;
   prometheus::Gauge& serversGauge_;
   prometheus::Gauge& sourcesGauge_;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -3,6 +3,7 @@
 #include "core/Compression.h"
 #include "core/Log.h"
 #include "instance/Endpoint.h"
+#include "policy/SourceRetention.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -37,6 +38,7 @@
 void FeedClient::SetSeeds(const std::vector<std::string>& aSeeds,
                           TimePoint aNow)
 {
+  seeds_ = { aSeeds.begin(), aSeeds.end() };
   for (const std::string& seed : aSeeds) {
     if (seed != settings_.ownEndpoint_) {
       AddSource(seed, aNow);
@@ -181,12 +183,30 @@
 void FeedClient::AddSource(const std::string& aEndpoint, TimePoint aNow)
 {
   const auto [row, isNew] = sources_.try_emplace(aEndpoint);
-  row->second.lastListedAt_ = aNow;
   if (isNew) {
+    row->second.addedAt_ = aNow;
     asio::co_spawn(context_, PollSource(aEndpoint), asio::detached);
   }
 }
 
+bool FeedClient::IsObsolete(const std::string& aEndpoint, TimePoint aNow) const
+{
+  const Source& source = sources_.at(aEndpoint);
+  SourceEvidence evidence;
+  evidence.isSeed_ = seeds_.contains(aEndpoint);
+  evidence.lastSeenAt_ = std::max(source.lastReplyAt_, source.addedAt_);
+  for (const auto& [endpoint, other] : sources_) {
+    if (endpoint != aEndpoint && IsLive(other, aNow)) {
+      const auto& listed = other.listedControls_;
+      evidence.doOthersReply_ = true;
+      evidence.isListed_ =
+        evidence.isListed_ ||
+        std::find(listed.begin(), listed.end(), aEndpoint) != listed.end();
+    }
+  }
+  return ShouldForgetSource(evidence, settings_.sourceExpiry_, aNow);
+}
+
 asio::awaitable<void> FeedClient::PollSource(std::string aEndpoint)
 {
   const auto endpoint = ToEndpoint(aEndpoint);
@@ -215,9 +235,8 @@
       }
     }
     RecordLoss(aEndpoint, source, status, now);
-    const TimePoint lastSeen =
-      std::max(source.lastReplyAt_, source.lastListedAt_);
-    if (now - lastSeen > settings_.sourceExpiry_) {
+    if (IsObsolete(aEndpoint, now)) {
+      LogLine(LogLevel::Info, "control_forgotten").Add("endpoint", aEndpoint);
       documentSource_ = nullptr;
       failedDocumentSource_ = nullptr;
       sources_.erase(aEndpoint);
@@ -268,6 +287,10 @@
     aSource.quarantineRevision_ = aReply.quarantineRevision_;
     ApplyQuarantines(aReply, aNow);
   }
+  // An instance that has just started may not have the list yet.
+  if (!aReply.controls_.empty()) {
+    aSource.listedControls_ = aReply.controls_;
+  }
   for (const std::string& control : aReply.controls_) {
     if (control != settings_.ownEndpoint_) {
       AddSource(control, aNow);
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace foxtail {
@@ -72,8 +73,8 @@
   size_t maxCrashReports_ = 256;
   /// Largest document, in bytes.
   size_t maxDocumentBytes_ = size_t{ 64 } * 1024 * 1024;
-  /// A source that no other source has listed and that has not replied for this
-  /// long is no longer polled.
+  /// A source that has not replied for this long is no longer polled, if others
+  /// reply and none of them lists it.
   milliseconds sourceExpiry_{ 30000 };
 };
 
@@ -122,7 +123,7 @@
 
   /// Starts polling. Called on worker 0 or before that worker starts.
   void Start(TimePoint aNow);
-  /// Adds seeds. Called on worker 0.
+  /// Replaces the seeds. Called on worker 0.
   void SetSeeds(const std::vector<std::string>& aSeeds, TimePoint aNow);
 
   /// Reports a slow server to the nearest source, together with others that are
@@ -140,6 +141,8 @@
   DocumentVersion Version() const { return version_; }
   /// @return number of sources whose last reply is recent.
   size_t LiveSources(TimePoint aNow) const;
+  /// @return number of sources that are polled.
+  size_t SourceCount() const { return sources_.size(); }
 
 private:
   struct Source
@@ -150,7 +153,10 @@
     uint64_t slowRevision_ = 0;
     uint64_t quarantineRevision_ = 0;
     TimePoint lastReplyAt_{};
-    TimePoint lastListedAt_{};
+    TimePoint addedAt_{};
+    /// Frame endpoints of the control instances, as this source last listed
+    /// them.
+    std::vector<std::string> listedControls_;
     TimePoint nextRenewalsAt_{};
     uint32_t entryInstances_ = 0;
     bool hasAllEntryInstances_ = false;
@@ -189,6 +195,8 @@
   bool WantsServers(const Source& aSource, TimePoint aNow) const;
   FeedRequest MakeRequest(const Source& aSource, TimePoint aNow);
   void AddSource(const std::string& aEndpoint, TimePoint aNow);
+  /// @return whether a source that does not reply is polled no more.
+  bool IsObsolete(const std::string& aEndpoint, TimePoint aNow) const;
   boost::asio::awaitable<void> PollSource(std::string aEndpoint);
   void ApplyReply(Source& aSource,
                   const FeedRequest& aRequest,
@@ -236,6 +244,7 @@
   const Source* documentSource_ = nullptr;
   const Source* failedDocumentSource_ = nullptr;
   std::map<std::string, Source> sources_;
+  std::set<std::string> seeds_;
   /// Reports that have not been sent yet, the latest of each server.
   std::map<BackendId, SlowServerReport> reports_;
   /// Reports of crashes that have not been sent yet.
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -1,3 +1,4 @@
+#include "../Support.h"
 #include "core/Metrics.h"
 #include "feed/FeedClient.h"
 #include "feed/FeedSource.h"
@@ -38,9 +39,10 @@
   return std::make_shared<const std::string>(aText);
 }
 
-FrameTransportSettings FrameSettings(const char* aName)
+FrameTransportSettings FrameSettings(const char* aName, uint16_t aPort = 0)
 {
   FrameTransportSettings settings;
+  settings.port_ = aPort;
   settings.instance_ = InstanceId(aName);
   settings.deploymentKey_ = "key of the tests";
   settings.connectTimeout_ = milliseconds(300);
@@ -53,9 +55,10 @@
 public:
   Source(const char* aName,
          const char* aZone,
-         TimePoint aStartedAt = Now() - seconds(60))
+         TimePoint aStartedAt = Now() - seconds(60),
+         uint16_t aPort = 0)
     : pool_(1)
-    , frames_(FrameSettings(aName), pool_)
+    , frames_(FrameSettings(aName, aPort), pool_)
     , feed_(ZoneName(aZone), frames_, metrics_, 77, aStartedAt)
   {
     frames_.Start().IgnoreError();
@@ -132,11 +135,16 @@
 class Client : private FeedListener
 {
 public:
-  explicit Client(std::vector<std::string> aSeeds,
-                  const char* aName = "entry-1")
+  explicit Client(
+    std::vector<std::string> aSeeds,
+    const char* aName = "entry-1",
+    milliseconds aSourceExpiry = FeedClientSettings{}.sourceExpiry_)
     : pool_(1)
     , frames_(FrameSettings(aName), pool_)
-    , feed_(SettingsOf(std::move(aSeeds)), frames_, pool_.Context(0), *this)
+    , feed_(SettingsOf(std::move(aSeeds), aSourceExpiry),
+            frames_,
+            pool_.Context(0),
+            *this)
   {
     frames_.Start().IgnoreError();
     feed_.Start(Now());
@@ -176,9 +184,11 @@
   bool areEntriesComplete_ = false;
 
 private:
-  static FeedClientSettings SettingsOf(std::vector<std::string> aSeeds)
+  static FeedClientSettings SettingsOf(std::vector<std::string> aSeeds,
+                                       milliseconds aSourceExpiry)
   {
     FeedClientSettings settings;
+    settings.sourceExpiry_ = aSourceExpiry;
     settings.zones_ = ZoneMap(ZoneName("zone-a"),
                               { { "north", { ZoneName("zone-a") } },
                                 { "south", { ZoneName("zone-b") } } });
@@ -318,6 +328,53 @@
   }));
 }
 
+// Instances that had been cut off or paused for longer than the expiry polled
+// no control instance any more, and kept their document for good.
+TEST_CASE("feed: a client follows again after any time without sources")
+{
+  constexpr milliseconds kExpiry{ 200 };
+  const uint16_t port = FreePort();
+  auto source =
+    std::make_unique<Source>("control-1", "zone-a", Now() - seconds(60), port);
+  Client client({ source->Endpoint() }, "entry-1", kExpiry);
+  source->feed_.OnDocument(DocumentVersion(1), SharedText("first"));
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 1; }));
+  source.reset();
+  std::this_thread::sleep_for(kExpiry * 5);
+  Source restarted("control-1", "zone-a", Now() - seconds(60), port);
+  restarted.feed_.OnDocument(DocumentVersion(2), SharedText("second"));
+  CHECK(client.WaitFor([&] { return client.texts_.size() == 2; }));
+}
+
+TEST_CASE("feed: a member that returns late is polled again, one that was "
+          "removed is not")
+{
+  constexpr milliseconds kExpiry{ 200 };
+  const uint16_t port = FreePort();
+  Source stays("control-1", "zone-a");
+  auto leaves =
+    std::make_unique<Source>("control-2", "zone-b", Now() - seconds(60), port);
+  stays.feed_.OnControlInstances({ stays.Endpoint(), leaves->Endpoint() });
+  Client client({ stays.Endpoint() }, "entry-1", kExpiry);
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 2; }));
+  leaves.reset();
+  std::this_thread::sleep_for(kExpiry * 5);
+  SUBCASE("it returns")
+  {
+    Source restarted("control-2", "zone-b", Now() - seconds(60), port);
+    restarted.feed_.OnAnnouncement(MakeAnnouncement("i-1", 1), Now());
+    CHECK(client.WaitFor([&] {
+      return client.feed_.Directory().Find(BackendId("i-1")) != nullptr;
+    }));
+  }
+  SUBCASE("it is removed")
+  {
+    CHECK(client.RunOnWorker([&] { return client.feed_.SourceCount(); }) == 2);
+    stays.feed_.OnControlInstances({ stays.Endpoint() });
+    CHECK(client.WaitFor([&] { return client.feed_.SourceCount() == 1; }));
+  }
+}
+
 TEST_CASE("feed: a document is requested from the nearest source that has it")
 {
   Source near("control-1", "zone-a");
