feed: control instances renew the servers of each other

Cause: control instances sent each other changed servers only, and each removes a server 120 s after the last announcement that it knows of.

--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -156,8 +156,8 @@
   request.knownQuarantineRevision_ = aSource.quarantineRevision_;
   request.wantsText_ = WantsText(aSource, aNow);
   request.wantsServers_ = WantsServers(aSource, aNow);
-  request.wantsRenewals_ = request.wantsServers_ && !settings_.isControl_ &&
-                           aNow >= aSource.nextRenewalsAt_;
+  request.wantsRenewals_ =
+    request.wantsServers_ && aNow >= aSource.nextRenewalsAt_;
   const bool isNear = aSource.distance_ == ZoneDistance::Same;
   request.wait_ = isNear ? settings_.wait_ : settings_.farWait_;
   if (MayFindNearerSource(aSource, aNow)) {
@@ -324,7 +324,10 @@
   } else if (aReply.revision_ > aSource.cursor_) {
     aSource.missingServersSince_ = std::min(aSource.missingServersSince_, aNow);
   }
-  if (directory_.ChangeRevision() != before) {
+  // A control instance passes renewals on to its own clients; an entry instance
+  // needs them for its directory alone.
+  const bool isRenewed = settings_.isControl_ && !aReply.renewals_.empty();
+  if (directory_.ChangeRevision() != before || isRenewed) {
     listener_.OnFeedServers(directory_, aNow);
   }
 }
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -87,7 +87,8 @@
   virtual void OnFeedDocument(DocumentVersion aVersion,
                               const std::string& aText,
                               TimePoint aNow) = 0;
-  /// Called when an announced server has changed.
+  /// Called when an announced server has changed and, on a control instance,
+  /// when servers were renewed.
   virtual void OnFeedServers(const ServerDirectory& aDirectory,
                              TimePoint aNow) = 0;
   /// Called with servers that several entry instances found slow.
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -73,7 +73,10 @@
 {
   const std::lock_guard lock(mutex_);
   const DirectoryUpdateResult result = directory_.Apply(aAnnouncement, aNow);
-  const bool hasExpired = directory_.RemoveExpired(aNow);
+  if (result != DirectoryUpdateResult::Stale) {
+    directAnnouncements_[aAnnouncement.id_] = aNow;
+  }
+  const bool hasExpired = RemoveExpired(aNow);
   if (result == DirectoryUpdateResult::Changed) {
     RecordDirectUpdate(aAnnouncement.id_);
   } else if (hasExpired) {
@@ -138,13 +141,37 @@
       updatedByPeers_.insert(id);
     }
   }
-  directory_.RemoveExpired(aNow);
+  RemoveExpired(aNow);
+  if (directory_.ChangeRevision() != before) {
+    CompletePolls();
+  }
+}
+
+bool FeedSource::RemoveExpired(TimePoint aNow)
+{
+  if (!directory_.RemoveExpired(aNow)) {
+    return false;
+  }
   std::erase_if(updatedByPeers_, [this](const BackendId& aId) {
     return directory_.Find(aId) == nullptr;
   });
-  if (directory_.ChangeRevision() != before) {
-    CompletePolls();
+  std::erase_if(directAnnouncements_, [this](const auto& aRow) {
+    return directory_.Find(aRow.first) == nullptr;
+  });
+  return true;
+}
+
+bool FeedSource::IsRenewed(const BackendId& aId,
+                           const ServerRecord& aRecord,
+                           bool aIsControl,
+                           TimePoint aNow) const
+{
+  if (!aIsControl) {
+    return aNow - aRecord.lastAnnouncementAt_ < kRenewalWindow;
   }
+  const auto found = directAnnouncements_.find(aId);
+  return found != directAnnouncements_.end() &&
+         aNow - found->second < kRenewalWindow;
 }
 
 void FeedSource::OnDocument(DocumentVersion aVersion,
@@ -348,7 +375,7 @@
         !isFromPeer) {
       reply.servers_.push_back({ record.announcement_, AgeOf(record, aNow) });
     } else if (aRequest.wantsRenewals_ &&
-               AgeOf(record, aNow) < kRenewalWindow) {
+               IsRenewed(id, record, aRequest.isControl_, aNow)) {
       reply.renewals_.push_back(
         { id, record.announcement_.sequence_, AgeOf(record, aNow) });
     }
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <prometheus/counter.h>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace foxtail {
@@ -23,11 +24,12 @@
 /// answers long-poll requests with the changed servers, the accepted document
 /// and the list of control instances. A request waits until there are updates
 /// of the kinds that it asks for. Entry instances receive all servers; control
-/// instances receive those that sent their announcements to this one, so that
-/// each announcement reaches each of them once. Entry instances report slow
-/// servers and receive those that several of them agree on. They also report
-/// crashes of servers, and receive the requests that are not to be sent any
-/// more. Thread safe.
+/// instances receive those that sent their announcements to this one, and at
+/// intervals which of these still announce themselves, so that each
+/// announcement reaches each of them once and no server that lives expires
+/// anywhere. Entry instances report slow servers and receive those that several
+/// of them agree on. They also report crashes of servers, and receive the
+/// requests that are not to be sent any more. Thread safe.
 class FeedSource
 {
 public:
@@ -97,6 +99,15 @@
   milliseconds BatchDelay(const FeedRequest& aRequest);
   /// Records a change that a server announced to this instance.
   void RecordDirectUpdate(const BackendId& aId);
+  /// @return whether a server's record is sent to a client as a renewal.
+  bool IsRenewed(const BackendId& aId,
+                 const ServerRecord& aRecord,
+                 bool aIsControl,
+                 TimePoint aNow) const;
+  /// Removes expired servers.
+  ///
+  /// @return whether any was removed.
+  bool RemoveExpired(TimePoint aNow);
   FeedReply MakeReply(const FeedRequest& aRequest, TimePoint aNow);
   /// Ends the wait of the requests that there are updates for.
   void CompletePolls();
@@ -113,6 +124,8 @@
   /// the revision of the last change that a server announced to this one.
   std::unordered_set<BackendId> updatedByPeers_;
   uint64_t directRevision_ = 0;
+  /// When each server last announced itself to this control instance.
+  std::unordered_map<BackendId, TimePoint> directAnnouncements_;
   DocumentVersion version_;
   /// Compressed once for all replies.
   std::shared_ptr<const std::string> compressedText_;
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -106,6 +106,7 @@
   {
     FeedClientSettings settings;
     settings.isControl_ = true;
+    settings.renewalInterval_ = milliseconds(300);
     settings.seeds_ = { std::move(aOther) };
     return settings;
   }
@@ -375,6 +376,30 @@
   }
 }
 
+// A server that announces itself to one control instance only was removed at
+// the others 120 s after its last change, and their entry instances refused
+// requests.
+TEST_CASE("feed: control instances renew the servers of each other")
+{
+  Source one("control-1", "zone-a");
+  Source two("control-2", "zone-b");
+  const TimePoint before = Now();
+  one.feed_.OnAnnouncement(MakeAnnouncement("i-1", 1), before - seconds(100));
+  PeerClient second(two, one.Endpoint());
+  const auto announcedAt = [&] {
+    const auto record = two.feed_.FindServer(BackendId("i-1"));
+    return record.has_value() ? record->lastAnnouncementAt_ : TimePoint{};
+  };
+  REQUIRE(WaitUntil([&] { return announcedAt() != TimePoint{}; }));
+  CHECK(announcedAt() < before - seconds(99));
+  one.feed_.OnAnnouncement(MakeAnnouncement("i-1", 2), Now());
+  CHECK(WaitUntil([&] { return announcedAt() >= before; }));
+  // The other one does not pass on what it received from the first.
+  PeerClient first(one, two.Endpoint());
+  std::this_thread::sleep_for(milliseconds(700));
+  CHECK(one.feed_.FindServer(BackendId("i-1"))->announcement_.sequence_ == 2);
+}
+
 TEST_CASE("feed: a document is requested from the nearest source that has it")
 {
   Source near("control-1", "zone-a");
