feed: servers are not removed before renewals are received

What callers saw (by a test; not on a deployment): after a partition of two minutes an instance removed all servers that had not changed, on the first reply, and did not receive them again: it refused every request. Cause: the first reply after a partition comes before renewals are asked for, and the cursor of the source still covers the servers that were removed. Change: servers are removed only while the last renewals are younger than a minute; a control instance that was apart from another for longer receives its servers again. Test: test_feed '*partition of any*' fails before and passes; test_feed 20 of 20.

--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -259,6 +259,8 @@
       .Add("document", aReply.version_)
       .Add("after_ms", ToMilliseconds(aNow - aSource.lastReplyAt_));
   }
+  const bool wasLongLost = aSource.hasReplied_ && aNow - aSource.lastReplyAt_ >
+                                                    settings_.maxRenewalAge_;
   if (aSource.id_ != aReply.source_) {
     aSource.cursor_ = 0;
     aSource.wasSynchronized_ = false;
@@ -280,6 +282,10 @@
   aSource.distance_ = settings_.zones_.DistanceTo(aReply.zone_);
   aSource.version_ = aReply.version_;
   ApplyServers(aSource, aRequest, aReply, aNow);
+  if (settings_.isControl_ && wasLongLost) {
+    // Its servers may have expired here while others renewed theirs.
+    aSource.cursor_ = 0;
+  }
   if (!settings_.isControl_) {
     ApplyDocument(aReply, aNow);
     aSource.slowRevision_ = aReply.slowRevision_;
@@ -311,7 +317,13 @@
   for (const FeedRenewal& renewal : aReply.renewals_) {
     directory_.Renew(renewal.id_, renewal.sequence_, aNow - renewal.age_);
   }
-  directory_.RemoveExpired(aNow);
+  if (aRequest.wantsRenewals_) {
+    renewedAt_ = aNow;
+  }
+  // After a partition every server looks expired until renewals are received.
+  if (aNow - renewedAt_ < settings_.maxRenewalAge_) {
+    directory_.RemoveExpired(aNow);
+  }
   if (aRequest.wantsServers_) {
     hasServers_ = true;
     aSource.cursor_ = aReply.cursor_;
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -33,6 +33,9 @@
   /// Interval of requests for the servers that have not changed, which keep
   /// these from expiring: well below ServerDirectory::kExpireAfter.
   milliseconds renewalInterval_{ 30000 };
+  /// Servers are removed for lack of an announcement only while the last
+  /// renewals are younger than this: two intervals of them.
+  milliseconds maxRenewalAge_{ 60000 };
   /// A poll has failed when its reply is still missing this long after its
   /// wait.
   milliseconds replyTimeout_{ 600 };
@@ -232,6 +235,8 @@
   boost::asio::io_context& context_;
   FeedListener& listener_;
   ServerDirectory directory_;
+  /// When a source last replied with renewals.
+  TimePoint renewedAt_{};
   /// Whether a source has sent its servers.
   bool hasServers_ = false;
   DocumentVersion version_;
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Far below the one in use, so that a test can outlast it.
+constexpr seconds kMaxRenewalAge{ 3 };
+
 ServerAnnouncement MakeAnnouncement(const char* aId, uint64_t aSequence)
 {
   ServerAnnouncement announcement;
@@ -190,6 +193,7 @@
   {
     FeedClientSettings settings;
     settings.sourceExpiry_ = aSourceExpiry;
+    settings.maxRenewalAge_ = kMaxRenewalAge;
     settings.zones_ = ZoneMap(ZoneName("zone-a"),
                               { { "north", { ZoneName("zone-a") } },
                                 { "south", { ZoneName("zone-b") } } });
@@ -400,6 +404,35 @@
   CHECK(one.feed_.FindServer(BackendId("i-1"))->announcement_.sequence_ == 2);
 }
 
+// After a partition of two minutes, an instance removed the servers that had
+// not changed meanwhile, and did not receive them again.
+TEST_CASE("feed: servers that live are kept over a partition of any length")
+{
+  const uint16_t port = FreePort();
+  const BackendId id("i-1");
+  const auto announceLongAgo = [&](Source& aSource) {
+    aSource.feed_.OnAnnouncement(MakeAnnouncement("i-1", 1),
+                                 Now() - ServerDirectory::kExpireAfter +
+                                   seconds(2));
+  };
+  auto source =
+    std::make_unique<Source>("control-1", "zone-a", Now() - seconds(60), port);
+  announceLongAgo(*source);
+  Client client({ source->Endpoint() });
+  REQUIRE(client.WaitFor(
+    [&] { return client.feed_.Directory().Find(id) != nullptr; }));
+  source.reset();
+  std::this_thread::sleep_for(kMaxRenewalAge + milliseconds(500));
+  // The same source, which the server has announced itself to all the while.
+  Source reachable("control-1", "zone-a", Now() - seconds(60), port);
+  announceLongAgo(reachable);
+  reachable.feed_.OnAnnouncement(MakeAnnouncement("i-1", 2), Now());
+  REQUIRE(client.WaitFor([&] { return client.feed_.LiveSources(Now()) == 1; }));
+  std::this_thread::sleep_for(milliseconds(1500));
+  CHECK(client.RunOnWorker(
+    [&] { return client.feed_.Directory().Find(id) != nullptr; }));
+}
+
 TEST_CASE("feed: a document is requested from the nearest source that has it")
 {
   Source near("control-1", "zone-a");
