control: a group accepts nothing before it has its voters

Cause: the creator of a group, its only voter at first, refused commands for 6 s at most and by a time in memory, so that after a restart it committed on its own disk. Change: a group that has never accepted a command, by its log, accepts the first one when it has the voters of its goal. The time limit is gone. Why it works: an entry of a group of 2F + 1 voters is on F + 1 disks, and the group outlives the loss of F.

--- a/src/control/ControlSettings.h
+++ b/src/control/ControlSettings.h
@@ -47,10 +47,6 @@
   /// Time that an instance which may create a group waits for a reply from an
   /// existing one.
   milliseconds bootstrapDelay_{ 1500 };
-  /// A new group accepts no commands until it has the number of voters in goal_
-  /// or this time has passed, because data on the disk of a single voter is not
-  /// safe.
-  milliseconds voterWaitTimeout_{ 6000 };
 
   /// Reads the JSON members voters, consensus, snapshot_bytes,
   /// claim_retention_ms and max_claims. The caller sets the other fields.
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -141,6 +141,13 @@
     .Add("entries", stored->entries_.size());
   now_ = Now();
   lastLeaderKnown_ = now_;
+  hasAcceptedCommands_ =
+    stored->snapshot_.meta_.index_ != 0 ||
+    std::any_of(stored->entries_.begin(),
+                stored->entries_.end(),
+                [](const LogEntry& aEntry) {
+                  return aEntry.kind_ == EntryKind::Command;
+                });
   if (isEmpty && aIsBootstrap) {
     bootstrapAt_ = now_ + settings_.bootstrapDelay_;
   }
@@ -180,7 +187,6 @@
     return false;
   }
   LogLine(LogLevel::Info, "control_group_made").Add("group", membership.group_);
-  awaitVotersUntil_ = now_ + settings_.voterWaitTimeout_;
   node_ = std::make_unique<ConsensusNode>(settings_.consensus_,
                                           self_,
                                           std::move(state),
@@ -345,22 +351,22 @@
   node_->Receive(aMessage, now_);
 }
 
-bool ReplicatedControl::IsAwaitingVoters()
+bool ReplicatedControl::IsAwaitingVoters() const
 {
-  const size_t voters = node_->CurrentMembership().VoterCount();
-  if (voters >= settings_.goal_.voters_ || now_ >= awaitVotersUntil_) {
-    awaitVotersUntil_ = TimePoint{};
-  }
-  return awaitVotersUntil_ != TimePoint{};
+  return !hasAcceptedCommands_ &&
+         node_->CurrentMembership().VoterCount() < settings_.goal_.voters_;
 }
 
 void ReplicatedControl::Handle(CommandRequest aRequest)
 {
   if (IsAwaitingVoters()) {
-    aRequest.handler_(
-      MakeError(ErrorKind::NoQuorum,
-                "the control group was created recently and waits for its "
-                "other voters; retry in a few seconds"));
+    aRequest.handler_(MakeError(
+      ErrorKind::NoQuorum,
+      "the new control group has " +
+        std::to_string(node_->CurrentMembership().VoterCount()) + " of its " +
+        std::to_string(settings_.goal_.voters_) +
+        " voters and accepts nothing before it has all; start the "
+        "other control instances, or check that they reach this one"));
     return;
   }
   const bool isClaim = std::holds_alternative<ClaimAction>(aRequest.body_);
@@ -592,6 +598,7 @@
   absl::StatusOr<CommandResult> result =
     CommandResult(ClaimUpdateResult{ true });
   if (aEntry.kind_ == EntryKind::Command) {
+    hasAcceptedCommands_ = true;
     const auto command = DecodeCommand(aEntry.payload_);
     const DocumentVersion before = state_.Documents().Version();
     if (command.ok()) {
@@ -629,6 +636,7 @@
     LogLine(LogLevel::Error, "snapshot_refused").Add("error", status);
     return;
   }
+  hasAcceptedCommands_ = true;
   appliedIndex_ = aSnapshot.meta_.index_;
   bytesSinceSnapshot_ = 0;
   lastSnapshotBytes_ = aSnapshot.data_->size();
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -261,8 +261,13 @@
   void NotifyDocument();
   void NotifyDeparture(const Command& aCommand);
   void NotifyMembership();
-  /// @return whether the group was created recently and still lacks voters.
-  bool IsAwaitingVoters();
+  /// A group accepts its first command when it has the number of voters in
+  /// goal_: with fewer, one lost disk may be the only one with the command, or
+  /// leave the group without a quorum for good. Later a voter is removed only
+  /// as another one replaces it.
+  ///
+  /// @return whether the group has not had its voters yet.
+  bool IsAwaitingVoters() const;
   void ExpirePending();
   void RequestJoin();
   bool IsMember(const InstanceId& aInstance) const;
@@ -307,7 +312,8 @@
   TimePoint nextJoinRequest_{};
   TimePoint lastLeaderKnown_{};
   std::optional<TimePoint> bootstrapAt_;
-  TimePoint awaitVotersUntil_{};
+  /// Whether the group has accepted a command, by the log and the snapshot.
+  bool hasAcceptedCommands_ = false;
   Membership notifiedMembership_;
   LogIndex appliedIndex_ = 0;
   uint64_t bytesSinceSnapshot_ = 0;
--- a/tests/control/JoinTest.cpp
+++ b/tests/control/JoinTest.cpp
@@ -17,9 +17,12 @@
 {
 public:
   /// @param aSeeds the control instances in its settings.
-  Member(const char* aName, const std::vector<const Member*>& aSeeds)
+  /// @param aPort also names the data folder; the same one restarts a member.
+  Member(const char* aName,
+         const std::vector<const Member*>& aSeeds,
+         uint16_t aPort = FreePort())
     : name_(aName)
-    , port_(FreePort())
+    , port_(aPort)
     , folder_(std::filesystem::temp_directory_path() /
               ("foxtail-join-" + std::to_string(port_)))
     , pool_(1)
@@ -36,7 +39,9 @@
     control_.Stop();
     frames_.Stop();
     pool_.Stop();
-    std::filesystem::remove_all(folder_);
+    if (!isFolderKept_) {
+      std::filesystem::remove_all(folder_);
+    }
   }
 
   void Start(bool aIsFounder)
@@ -53,6 +58,20 @@
     control_.SetSeeds(std::move(aSeeds));
   }
 
+  /// Keeps the data folder for a restart.
+  void KeepFolder() { isFolderKept_ = true; }
+  uint16_t Port() const { return port_; }
+  /// @return the outcome of a command.
+  absl::Status Commit(uint64_t aVersion)
+  {
+    auto submission = control_.Submit(
+      AdoptDocument{ DocumentVersion(aVersion), "routes" }, seconds(1));
+    return boost::asio::co_spawn(
+             pool_.Context(0), std::move(submission), boost::asio::use_future)
+      .get()
+      .status();
+  }
+
   /// @return the number of voters in this member's latest membership.
   size_t Voters()
   {
@@ -84,7 +103,6 @@
     settings.endpoint_ = Endpoint();
     settings.goal_.voters_ = 3;
     settings.bootstrapDelay_ = milliseconds(10);
-    settings.voterWaitTimeout_ = milliseconds(10);
     settings.consensus_.electionTimeout_ = milliseconds(300);
     for (const Member* seed : aSeeds) {
       settings.seeds_.push_back({ InstanceId(seed->name_), seed->Endpoint() });
@@ -92,6 +110,7 @@
     return settings;
   }
 
+  bool isFolderKept_ = false;
   const std::string name_;
   const uint16_t port_;
   const std::filesystem::path folder_;
@@ -134,3 +153,37 @@
   second.SetSeeds({ first.AsSeed() });
   CHECK(WaitUntil([&] { return first.Voters() == 2; }));
 }
+
+// A group of one voter, restarted before the others had joined, accepted
+// documents on one disk; with that disk they were lost, and the group never
+// accepted another.
+TEST_CASE("join: a new group accepts nothing before it has all its voters")
+{
+  auto first =
+    std::make_unique<Member>("control-1", std::vector<const Member*>{});
+  const uint16_t port = first->Port();
+  first->Start(true);
+  REQUIRE(WaitUntil([&] { return first->IsLeader(); }));
+  CHECK_FALSE(first->Commit(1).ok());
+  first->KeepFolder();
+  first.reset();
+  Member restarted("control-1", {}, port);
+  restarted.Start(false);
+  REQUIRE(WaitUntil([&] { return restarted.IsLeader(); }));
+  CHECK_FALSE(restarted.Commit(2).ok());
+  Member second("control-2", { &restarted });
+  second.Start(false);
+  REQUIRE(WaitUntil([&] { return restarted.Voters() == 2; }));
+  const absl::Status status = restarted.Commit(3);
+  CHECK(KindOf(status) == ErrorKind::NoQuorum);
+  CHECK(std::string(status.message()).find("2 of its 3 voters") !=
+        std::string::npos);
+  {
+    Member third("control-3", { &restarted });
+    third.Start(false);
+    REQUIRE(WaitUntil([&] { return restarted.Voters() == 3; }));
+    CHECK(restarted.Commit(4).ok());
+  }
+  // A complete group accepts with a quorum of its voters.
+  CHECK(restarted.Commit(5).ok());
+}
