control: documents do not come by command frames

A frame could carry a document without the validation of the APIs; only claims and departures come by frames now.

--- a/src/control/CommandMessages.cpp
+++ b/src/control/CommandMessages.cpp
@@ -30,7 +30,7 @@
   if (wire.status() >= EnumTable<CommandReplyStatus>::kRows.size() ||
       wire.claim_state() >= EnumTable<ClaimState>::kRows.size()) {
     return MakeError(ErrorKind::Protocol,
-                     "the reply to a claim has an unknown state; run the "
+                     "the reply to a command has an unknown state; run the "
                      "same release on all instances");
   }
   CommandReply reply;
--- a/src/control/CommandServer.cpp
+++ b/src/control/CommandServer.cpp
@@ -20,6 +20,14 @@
   return { isApplied ? ClaimState::Granted : ClaimState::Mismatch, {} };
 }
 
+/// Documents are validated by the APIs that accept them, so they do not come by
+/// frames.
+bool MayComeByFrame(const CommandBody& aBody)
+{
+  return !std::holds_alternative<ChangeDocument>(aBody) &&
+         !std::holds_alternative<AdoptDocument>(aBody);
+}
+
 CommandReplyStatus StatusOf(const absl::Status& aStatus)
 {
   switch (KindOf(aStatus)) {
@@ -54,9 +62,7 @@
 {
   CommandReply reply;
   auto command = DecodeCommand(aFrame.payload_);
-  const bool isClaim =
-    command.ok() && !std::holds_alternative<ChangeDocument>(command->body_);
-  if (isClaim) {
+  if (command.ok() && MayComeByFrame(command->body_)) {
     auto submission =
       control_.Submit(std::move(command->body_), kCommitTimeout);
     const auto result = co_await std::move(submission);
