forward: requests do not wait for a draining server

Cause: an announcement of draining left the queue of the server's connections as it was. Change: after 0.3 s of draining what still waits is sent to other servers.

--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -21,6 +21,9 @@
 /// failure up to kMaxUnreachableBackoff.
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
 constexpr milliseconds kMaxUnreachableBackoff{ 2000 };
+/// Time in which requests that wait for a connection may still be sent to a
+/// server that has begun to drain; then they are sent to other servers.
+constexpr milliseconds kMaxQueueTimeWhileDraining{ 300 };
 /// Interval of the log lines about one server that states a rate limit.
 constexpr seconds kRateLimitLogInterval{ 10 };
 
@@ -111,6 +114,10 @@
 void ServerConnectionPool::Update(const ServerAnnouncement& aAnnouncement,
                                   TimePoint aNow)
 {
+  if (announcement_.phase_ == ServerPhase::Ready &&
+      aAnnouncement.phase_ != ServerPhase::Ready) {
+    drainingSince_ = aNow;
+  }
   announcement_ = aAnnouncement;
   warmupUntil_ = aNow + announcement_.warmupLeft_;
 }
@@ -179,6 +186,12 @@
 void ServerConnectionPool::CheckTimeouts(TimePoint aNow)
 {
   CheckForCrash(aNow);
+  if (announcement_.phase_ != ServerPhase::Ready &&
+      aNow - drainingSince_ > kMaxQueueTimeWhileDraining) {
+    while (!waiting_.empty()) {
+      FailOneWaiting(ExchangeFault::ServerRemoved, aNow);
+    }
+  }
   const auto connections = connections_;
   for (const auto& connection : connections) {
     const Duration age = aNow - connection->StateSince();
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -194,6 +194,7 @@
   double failureRate_ = 0;
   TimePoint failureRateAt_{};
   TimePoint warmupUntil_{};
+  TimePoint drainingSince_{};
   TimePoint unreachableUntil_{};
   milliseconds unreachableBackoff_{ 0 };
   std::optional<ReportedServerLoad> load_;
--- a/tests/forward/SingleRequestHandlerTest.cpp
+++ b/tests/forward/SingleRequestHandlerTest.cpp
@@ -1,3 +1,4 @@
+#include "../Support.h"
 #include "ForwardFixture.h"
 
 #include <atomic>
@@ -335,6 +336,35 @@
   }
 }
 
+// Requests that waited for a connection to a server when it began to drain were
+// sent to it seconds later.
+TEST_CASE("requests that wait for a draining server are sent to another one")
+{
+  ScriptedServer leaving([](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply("leaving"), milliseconds(1500) };
+  });
+  ScriptedServer staying([](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply("staying") };
+  });
+  ForwardFixture fixture;
+  RouteDocument document = SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce);
+  document.services_[0].maxConnections_ = 1;
+  fixture.SetRoutes(document);
+  fixture.Announce("i-1", "proofs", leaving.Address());
+  std::thread first(
+    [&] { CHECK(fixture.Get("/proofs/1").body() == "leaving"); });
+  REQUIRE(WaitUntil([&] { return leaving.Requests().size() == 1; }));
+  std::string second;
+  std::thread waiting([&] { second = fixture.Get("/proofs/2").body(); });
+  std::this_thread::sleep_for(milliseconds(100));
+  fixture.Announce("i-1", "proofs", leaving.Address(), ServerPhase::Draining);
+  fixture.Announce("i-2", "proofs", staying.Address());
+  first.join();
+  waiting.join();
+  CHECK(second == "staying");
+  CHECK(leaving.Requests().size() == 1);
+}
+
 // Guards against a backend server that receives far more requests than the
 // limit that it states, since each instance sends as if there were none.
 TEST_CASE("instances keep to their shares of a server's stated rate limit")
