edge: two lists of polled control instances without a pointer to a member

A reader had to know which list a pointer to a member stood for. Behaviour is unchanged; test_edge passes.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -64,7 +64,10 @@
   });
   control_.OnMembership([this](const Membership& aMembership) {
     auto endpoints = EndpointsOf(aMembership.members_);
-    PollPeers(&EdgeControl::members_, endpoints);
+    boost::asio::post(workers_.Context(0), [this, endpoints] {
+      members_ = endpoints;
+      PollPeers();
+    });
     feed_.OnControlInstances(std::move(endpoints));
   });
 }
@@ -102,20 +105,19 @@
 
 void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
 {
-  PollPeers(&EdgeControl::seeds_, EndpointsOf(aSeeds));
+  boost::asio::post(workers_.Context(0),
+                    [this, endpoints = EndpointsOf(aSeeds)] {
+                      seeds_ = endpoints;
+                      PollPeers();
+                    });
   control_.SetSeeds(std::move(aSeeds));
 }
 
-void EdgeControl::PollPeers(std::vector<std::string> EdgeControl::*aList,
-                            std::vector<std::string> aEndpoints)
+void EdgeControl::PollPeers()
 {
-  boost::asio::post(workers_.Context(0),
-                    [this, aList, endpoints = std::move(aEndpoints)]() mutable {
-                      this->*aList = std::move(endpoints);
-                      std::vector<std::string> all = seeds_;
-                      all.insert(all.end(), members_.begin(), members_.end());
-                      peers_.SetSeeds(all, Now());
-                    });
+  std::vector<std::string> endpoints = seeds_;
+  endpoints.insert(endpoints.end(), members_.begin(), members_.end());
+  peers_.SetSeeds(endpoints, Now());
 }
 
 void EdgeControl::ScheduleTrafficLog()
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -74,9 +74,8 @@
   }
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
   /// Polls the seeds and the members for the servers that announced themselves
-  /// there, after one of the lists has changed. Thread safe.
-  void PollPeers(std::vector<std::string> EdgeControl::*aList,
-                 std::vector<std::string> aEndpoints);
+  /// there. Called on worker 0 when one of the lists has changed.
+  void PollPeers();
   /// Schedules the next log line of the bytes sent to other instances, by kind.
   void ScheduleTrafficLog();
 
--- a/src/policy/SourceRetention.h
+++ b/src/policy/SourceRetention.h
@@ -5,7 +5,7 @@
 
 namespace foxtail {
 
-/// What an instance knows of a control instance that does not reply.
+/// Evidence about a control instance that does not reply.
 struct SourceEvidence
 {
   /// Whether the settings name it.
