forward: teams, regions, warm-up and evacuations in documents and messages

Cause: the documents and messages of deployments with teams, quotas, allowed regions and evacuations had fields that were dropped on decoding.

Change: the route document holds teams and their keys, public routes, allowed regions and the pace of cold servers, and is refused when two teams share a key.

Measured: test_team, test_platform and test_feed pass.

--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -150,6 +150,36 @@
   return crashes;
 }
 
+using LeavingServerList =
+  flatbuffers::Vector<flatbuffers::Offset<wire::FeedLeavingServer>>;
+
+flatbuffers::Offset<LeavingServerList> ToWire(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  const std::vector<FeedLeavingServer>& aServers)
+{
+  std::vector<flatbuffers::Offset<wire::FeedLeavingServer>> rows;
+  rows.reserve(aServers.size());
+  for (const FeedLeavingServer& server : aServers) {
+    const auto id = aBuilder.CreateString(server.id_.Value());
+    rows.push_back(
+      wire::CreateFeedLeavingServer(aBuilder, id, server.startedAtMs_));
+  }
+  return aBuilder.CreateVector(rows);
+}
+
+std::vector<FeedLeavingServer> FromWire(const LeavingServerList* aList)
+{
+  std::vector<FeedLeavingServer> servers;
+  if (aList == nullptr) {
+    return servers;
+  }
+  servers.reserve(aList->size());
+  for (const wire::FeedLeavingServer* row : *aList) {
+    servers.push_back({ BackendId(row->id()->str()), row->started_at_ms() });
+  }
+  return servers;
+}
+
 std::vector<RequestFingerprint> FromWire(
   const flatbuffers::Vector<uint64_t>* aList)
 {
@@ -190,6 +220,10 @@
   if (!aRequest.quarantines_.empty()) {
     quarantines = ToWire(builder, aRequest.quarantines_);
   }
+  flatbuffers::Offset<LeavingServerList> leavingServers;
+  if (!aRequest.leavingServers_.empty()) {
+    leavingServers = ToWire(builder, aRequest.leavingServers_);
+  }
   builder.Finish(wire::CreateFeedRequest(builder,
                                          aRequest.source_.Value(),
                                          aRequest.cursor_,
@@ -205,7 +239,9 @@
                                          crashes,
                                          answered,
                                          quarantines,
-                                         aRequest.knownQuarantineRevision_));
+                                         aRequest.knownQuarantineRevision_,
+                                         leavingServers,
+                                         aRequest.knownEvacuationRevision_));
   return FinishedBytes(builder);
 }
 
@@ -229,7 +265,9 @@
                       FromWire((*root)->crashes()),
                       FromWire((*root)->answered()),
                       FromWire((*root)->quarantines()),
-                      (*root)->known_quarantines() };
+                      (*root)->known_quarantines(),
+                      FromWire((*root)->leaving_servers()),
+                      (*root)->known_evacuations() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -274,6 +312,17 @@
   if (!aReply.quarantines_.empty()) {
     quarantines = ToWire(builder, aReply.quarantines_);
   }
+  flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>
+    evacuatedZones;
+  if (!aReply.evacuatedZones_.empty()) {
+    std::vector<std::string> zones;
+    zones.reserve(aReply.evacuatedZones_.size());
+    for (const ZoneName& evacuated : aReply.evacuatedZones_) {
+      zones.push_back(evacuated.Value());
+    }
+    evacuatedZones = builder.CreateVectorOfStrings(zones);
+  }
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
@@ -293,7 +342,9 @@
                                        slowServers,
                                        aReply.slowRevision_,
                                        quarantines,
-                                       aReply.quarantineRevision_));
+                                       aReply.quarantineRevision_,
+                                       evacuatedZones,
+                                       aReply.evacuationRevision_));
   return FinishedBytes(builder);
 }
 
@@ -332,6 +383,12 @@
   reply.slowRevision_ = (*root)->slow_revision();
   reply.quarantines_ = FromWire((*root)->quarantines());
   reply.quarantineRevision_ = (*root)->quarantine_revision();
+  if (const auto* zones = (*root)->evacuated_zones()) {
+    for (const flatbuffers::String* evacuated : *zones) {
+      reply.evacuatedZones_.emplace_back(evacuated->str());
+    }
+  }
+  reply.evacuationRevision_ = (*root)->evacuation_revision();
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -47,6 +47,13 @@
   SuspectTreatment treatment_ = SuspectTreatment::Refuse;
 };
 
+/// A backend server process whose replies say that it is leaving.
+struct FeedLeavingServer
+{
+  BackendId id_;
+  uint64_t startedAtMs_ = 0;
+};
+
 /// Long-poll request for updates.
 struct FeedRequest
 {
@@ -82,6 +89,10 @@
   std::vector<FeedQuarantine> quarantines_{};
   /// Revision of the source's quarantines up to which the client has all.
   uint64_t knownQuarantineRevision_ = 0;
+  /// Leaving servers that the client has found since its last report.
+  std::vector<FeedLeavingServer> leavingServers_{};
+  /// Revision of the evacuated zones that the client has.
+  uint64_t knownEvacuationRevision_ = 0;
 };
 
 /// A backend server and the time since its last announcement.
@@ -129,6 +140,10 @@
   /// Quarantines that began since the request's knownQuarantineRevision_.
   std::vector<FeedQuarantine> quarantines_;
   uint64_t quarantineRevision_ = 0;
+  /// Availability zones whose servers receive no requests, and the revision of
+  /// that set in the replicated log.
+  std::vector<ZoneName> evacuatedZones_;
+  uint64_t evacuationRevision_ = 0;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -25,6 +25,9 @@
 struct FeedQuarantine;
 struct FeedQuarantineBuilder;
 
+struct FeedLeavingServer;
+struct FeedLeavingServerBuilder;
+
 struct FeedRequest;
 struct FeedRequestBuilder;
 
@@ -286,6 +289,70 @@
   return builder_.Finish();
 }
 
+struct FeedLeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedLeavingServerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STARTED_AT_MS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedLeavingServerBuilder {
+  typedef FeedLeavingServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(FeedLeavingServer::VT_ID, id);
+  }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(FeedLeavingServer::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  explicit FeedLeavingServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedLeavingServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedLeavingServer>(end);
+    fbb_.Required(o, FeedLeavingServer::VT_ID);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedLeavingServer> CreateFeedLeavingServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint64_t started_at_ms = 0) {
+  FeedLeavingServerBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FeedLeavingServer> CreateFeedLeavingServerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    uint64_t started_at_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return foxtail::wire::CreateFeedLeavingServer(
+      _fbb,
+      id__,
+      started_at_ms);
+}
+
 struct FeedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FeedRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -303,7 +370,9 @@
     VT_CRASHES = 26,
     VT_ANSWERED = 28,
     VT_QUARANTINES = 30,
-    VT_KNOWN_QUARANTINES = 32
+    VT_KNOWN_QUARANTINES = 32,
+    VT_LEAVING_SERVERS = 34,
+    VT_KNOWN_EVACUATIONS = 36
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -350,6 +419,12 @@
   uint64_t known_quarantines() const {
     return GetField<uint64_t>(VT_KNOWN_QUARANTINES, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>> *leaving_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>> *>(VT_LEAVING_SERVERS);
+  }
+  uint64_t known_evacuations() const {
+    return GetField<uint64_t>(VT_KNOWN_EVACUATIONS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -374,6 +449,10 @@
            verifier.VerifyVector(quarantines()) &&
            verifier.VerifyVectorOfTables(quarantines()) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_QUARANTINES, 8) &&
+           VerifyOffset(verifier, VT_LEAVING_SERVERS) &&
+           verifier.VerifyVector(leaving_servers()) &&
+           verifier.VerifyVectorOfTables(leaving_servers()) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_EVACUATIONS, 8) &&
            verifier.EndTable();
   }
 };
@@ -427,6 +506,12 @@
   void add_known_quarantines(uint64_t known_quarantines) {
     fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_QUARANTINES, known_quarantines, 0);
   }
+  void add_leaving_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>>> leaving_servers) {
+    fbb_.AddOffset(FeedRequest::VT_LEAVING_SERVERS, leaving_servers);
+  }
+  void add_known_evacuations(uint64_t known_evacuations) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_EVACUATIONS, known_evacuations, 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -454,14 +539,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedCrash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
-    uint64_t known_quarantines = 0) {
+    uint64_t known_quarantines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>>> leaving_servers = 0,
+    uint64_t known_evacuations = 0) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_known_evacuations(known_evacuations);
   builder_.add_known_quarantines(known_quarantines);
   builder_.add_known_slow(known_slow);
   builder_.add_known_controls(known_controls);
   builder_.add_known_version(known_version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_leaving_servers(leaving_servers);
   builder_.add_quarantines(quarantines);
   builder_.add_answered(answered);
   builder_.add_crashes(crashes);
@@ -490,11 +579,14 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedCrash>> *crashes = nullptr,
     const std::vector<uint64_t> *answered = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
-    uint64_t known_quarantines = 0) {
+    uint64_t known_quarantines = 0,
+    const std::vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>> *leaving_servers = nullptr,
+    uint64_t known_evacuations = 0) {
   auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedCrash>>(*crashes) : 0;
   auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>(*quarantines) : 0;
+  auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>>(*leaving_servers) : 0;
   return foxtail::wire::CreateFeedRequest(
       _fbb,
       source,
@@ -511,7 +603,9 @@
       crashes__,
       answered__,
       quarantines__,
-      known_quarantines);
+      known_quarantines,
+      leaving_servers__,
+      known_evacuations);
 }
 
 struct FeedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -778,7 +872,9 @@
     VT_SLOW_SERVERS = 30,
     VT_SLOW_REVISION = 32,
     VT_QUARANTINES = 34,
-    VT_QUARANTINE_REVISION = 36
+    VT_QUARANTINE_REVISION = 36,
+    VT_EVACUATED_ZONES = 38,
+    VT_EVACUATION_REVISION = 40
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -831,6 +927,12 @@
   uint64_t quarantine_revision() const {
     return GetField<uint64_t>(VT_QUARANTINE_REVISION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATED_ZONES);
+  }
+  uint64_t evacuation_revision() const {
+    return GetField<uint64_t>(VT_EVACUATION_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -862,6 +964,10 @@
            verifier.VerifyVector(quarantines()) &&
            verifier.VerifyVectorOfTables(quarantines()) &&
            VerifyField<uint64_t>(verifier, VT_QUARANTINE_REVISION, 8) &&
+           VerifyOffset(verifier, VT_EVACUATED_ZONES) &&
+           verifier.VerifyVector(evacuated_zones()) &&
+           verifier.VerifyVectorOfStrings(evacuated_zones()) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -921,6 +1027,12 @@
   void add_quarantine_revision(uint64_t quarantine_revision) {
     fbb_.AddElement<uint64_t>(FeedReply::VT_QUARANTINE_REVISION, quarantine_revision, 0);
   }
+  void add_evacuated_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones) {
+    fbb_.AddOffset(FeedReply::VT_EVACUATED_ZONES, evacuated_zones);
+  }
+  void add_evacuation_revision(uint64_t evacuation_revision) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_EVACUATION_REVISION, evacuation_revision, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -953,8 +1065,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>> slow_servers = 0,
     uint64_t slow_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
-    uint64_t quarantine_revision = 0) {
+    uint64_t quarantine_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones = 0,
+    uint64_t evacuation_revision = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_evacuation_revision(evacuation_revision);
   builder_.add_quarantine_revision(quarantine_revision);
   builder_.add_slow_revision(slow_revision);
   builder_.add_revision(revision);
@@ -963,6 +1078,7 @@
   builder_.add_version(version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_evacuated_zones(evacuated_zones);
   builder_.add_quarantines(quarantines);
   builder_.add_slow_servers(slow_servers);
   builder_.add_zone(zone);
@@ -993,7 +1109,9 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>> *slow_servers = nullptr,
     uint64_t slow_revision = 0,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
-    uint64_t quarantine_revision = 0) {
+    uint64_t quarantine_revision = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones = nullptr,
+    uint64_t evacuation_revision = 0) {
   auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
@@ -1001,6 +1119,7 @@
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>(*quarantines) : 0;
+  auto evacuated_zones__ = evacuated_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated_zones) : 0;
   return foxtail::wire::CreateFeedReply(
       _fbb,
       source,
@@ -1019,7 +1138,9 @@
       slow_servers__,
       slow_revision,
       quarantines__,
-      quarantine_revision);
+      quarantine_revision,
+      evacuated_zones__,
+      evacuation_revision);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
--- a/src/forward/HeaderNames.h
+++ b/src/forward/HeaderNames.h
@@ -30,6 +30,14 @@
   std::string rateLimit_ = "Foxtail-Rate-Limit";
   /// Signatures of the parts in a merged answer, separated by commas.
   std::string partSignatures_ = "Foxtail-Part-Signatures";
+  /// Name of the team whose key the caller sent.
+  std::string team_ = "Foxtail-Team";
+  /// Present in the replies of a backend server that is leaving.
+  std::string leaving_ = "Foxtail-Leaving";
+  /// Time for which the backend server stays cold, in milliseconds.
+  std::string warmupMs_ = "Foxtail-Warmup-Ms";
+  /// Scheme of the Authorization header that holds a team's key.
+  std::string keyScheme_ = "Bearer";
   /// Number of shards whose parts are missing from an answer.
   std::string missingShards_ = "Foxtail-Missing-Shards";
 };
--- a/src/forward/RouteDocument.cpp
+++ b/src/forward/RouteDocument.cpp
@@ -132,7 +132,7 @@
                         "each route its own host and path prefix");
     }
   }
-  return absl::OkStatus();
+  return teams_ ? foxtail::Validate(*teams_) : absl::OkStatus();
 }
 
 } // namespace foxtail
--- a/src/forward/RouteDocument.h
+++ b/src/forward/RouteDocument.h
@@ -4,8 +4,10 @@
 #include "core/EnumTable.h"
 #include "core/Ids.h"
 #include "core/Time.h"
+#include "team/Team.h"
 
 #include <absl/status/status.h>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -75,6 +77,9 @@
   uint32_t priority_ = 0;
   /// Maximum number of backend servers that may run one request, per shard.
   uint32_t maxAttempts_ = 1;
+  /// Whether a request needs no key, although the document has teams.
+  bool isPublic_ = false;
+  AllowedRegions allowedRegions_;
   RouteTarget target_;
 };
 
@@ -85,6 +90,11 @@
   /// Connections that one of its backend servers accepts from all instances
   /// together.
   uint32_t maxConnections_ = 0;
+  /// How long its backend servers are cold after a start.
+  milliseconds warmup_{ 0 };
+  /// Requests per second that a cold backend server tolerates from all
+  /// instances together; 0 does not limit them.
+  double warmupPerSecond_ = 0;
 };
 
 /// Limits on the size and duration of callers' requests.
@@ -103,10 +113,13 @@
   std::vector<Route> routes_;
   std::vector<RoutedService> services_;
   CallerLimits limits_;
+  /// Teams of callers. Without a list, requests need no key; with an empty one,
+  /// only public routes are served.
+  std::optional<std::vector<Team>> teams_;
 
   /// @return InvalidDocument with the first fault and its remedy, for example
   /// an unknown service, two routes with the same host and path prefix, weights
-  /// that add up to 0, or a time limit of 0.
+  /// that add up to 0, a time limit of 0, or a key that two teams hold.
   absl::Status Validate() const;
 };
 
--- a/src/instance/FrameTransport.h
+++ b/src/instance/FrameTransport.h
@@ -41,12 +41,15 @@
   /// Long-poll request of an entry instance for updates, and its reply.
   Feed,
   FeedReply,
+  /// Request for permits of shared allowances, and its reply.
+  Allowance,
+  AllowanceReply,
 };
 
 template<>
 struct EnumTable<FrameKind>
 {
-  static constexpr std::array<EnumName<FrameKind>, 13> kRows{ {
+  static constexpr std::array<EnumName<FrameKind>, 15> kRows{ {
     { FrameKind::Consensus, "consensus" },
     { FrameKind::Command, "claim" },
     { FrameKind::CommandReply, "claim_reply" },
@@ -60,6 +63,8 @@
     { FrameKind::ControlJoin, "control_join" },
     { FrameKind::Feed, "feed" },
     { FrameKind::FeedReply, "feed_reply" },
+    { FrameKind::Allowance, "allowance" },
+    { FrameKind::AllowanceReply, "allowance_reply" },
   } };
 };
 
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -252,6 +252,8 @@
   reply.controls_ = { "127.0.0.1:1" };
   reply.entryInstances_ = 6;
   reply.zone_ = ZoneName("zone-a");
+  reply.evacuatedZones_ = { ZoneName("zone-b") };
+  reply.evacuationRevision_ = 4;
   const auto decoded = DecodeFeedReply(EncodeFeedReply(reply));
   REQUIRE(decoded.ok());
   CHECK(*decoded->compressedText_ == "routes");
@@ -262,6 +264,16 @@
   CHECK(decoded->renewals_[0].id_ == BackendId("i-2"));
   CHECK(decoded->controls_ == reply.controls_);
   CHECK(decoded->zone_ == reply.zone_);
+  CHECK(decoded->evacuatedZones_ == reply.evacuatedZones_);
+  CHECK(decoded->evacuationRevision_ == 4);
+  FeedRequest request;
+  request.leavingServers_ = { { BackendId("i-3"), 1700 } };
+  request.knownEvacuationRevision_ = 2;
+  const auto decodedRequest = DecodeFeedRequest(EncodeFeedRequest(request));
+  REQUIRE(decodedRequest.ok());
+  CHECK(decodedRequest->leavingServers_[0].id_ == BackendId("i-3"));
+  CHECK(decodedRequest->leavingServers_[0].startedAtMs_ == 1700);
+  CHECK(decodedRequest->knownEvacuationRevision_ == 2);
   CHECK_FALSE(DecodeFeedReply("").ok());
   CHECK_FALSE(DecodeFeedRequest("garbage of some length").ok());
   CHECK(rc::check("corrupted bytes never crash the decoder", [&] {
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -70,6 +70,49 @@
   CHECK(document->limits_.idleTimeout_ == milliseconds(15000));
 }
 
+TEST_CASE("document: teams, regions and warm-up are decoded into their fields")
+{
+  const std::string teams =
+    R"("tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":0,
+                   "rate_per_s":47,"burst":12.5,"allowed_regions":["north"]},
+                  {"name":"t2"}],)";
+  std::string text = With(kDocument, "\"routes\":", teams + "\"routes\":");
+  text = With(text,
+              "\"service\":\"s3\"",
+              R"("service":"s3","public":true,"allowed_regions":["a","b"])");
+  text = With(text,
+              "\"max_conns\":31",
+              R"("max_conns":31,"warmup_s":2.5,"warmup_per_s":4)");
+  const auto document = DecodeRouteDocument(text);
+  REQUIRE(document.ok());
+  REQUIRE(document->Validate().ok());
+  REQUIRE(document->teams_.has_value());
+  const Team& team = document->teams_->at(0);
+  CHECK(team.name_ == "t1");
+  CHECK(team.keys_ == std::vector<std::string>{ "k1", "k2" });
+  CHECK(team.priority_ == 0U);
+  CHECK(team.requestsPerSecond_ == doctest::Approx(47));
+  CHECK(team.burst_ == doctest::Approx(12.5));
+  CHECK(team.allowedRegions_ == AllowedRegions{ "north" });
+  CHECK_FALSE(document->teams_->at(1).priority_.has_value());
+  CHECK(document->teams_->at(1).requestsPerSecond_ == 0);
+  CHECK_FALSE(document->routes_[0].isPublic_);
+  CHECK(document->routes_[1].isPublic_);
+  CHECK(document->routes_[1].allowedRegions_ == AllowedRegions{ "a", "b" });
+  CHECK(document->services_[0].warmup_ == milliseconds(2500));
+  CHECK(document->services_[0].warmupPerSecond_ == doctest::Approx(4));
+}
+
+TEST_CASE("document: an empty list of teams differs from none")
+{
+  CHECK_FALSE(DecodeRouteDocument(kDocument)->teams_.has_value());
+  const auto document = DecodeRouteDocument(
+    With(kDocument, "\"routes\":", "\"tenants\":[],\"routes\":"));
+  REQUIRE(document.ok());
+  REQUIRE(document->teams_.has_value());
+  CHECK(document->teams_->empty());
+}
+
 TEST_CASE("document: incomplete and invalid documents are rejected")
 {
   struct Row
@@ -108,6 +151,17 @@
     { "a timeout of 0",
       With(kDocument, "\"timeout_ms\":2500", "\"timeout_ms\":0") },
     { "deeply nested", std::string(5000, '[') },
+    { "two teams with one key",
+      With(kDocument,
+           "\"routes\":",
+           R"("tenants":[{"name":"a","api_keys":["k"]},
+                         {"name":"b","api_keys":["k"]}],"routes":)") },
+    { "a key that is not a string",
+      With(kDocument,
+           "\"routes\":",
+           R"("tenants":[{"name":"a","api_keys":[7]}],"routes":)") },
+    { "teams that are not an array",
+      With(kDocument, "\"routes\":", R"("tenants":{},"routes":)") },
   };
   for (const Row& row : rows) {
     CAPTURE(row.name_);
