forward: a request names its team

Cause: keys and quotas are built side by side and share the team of a request. Change: the field; it stays empty until keys are checked. Measured: it compiles; no behaviour changes.

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -27,6 +27,8 @@
   std::string body_;
   /// Credentials of the caller, also among headers_; empty if there are none.
   std::string credentials_;
+  /// Team whose key the caller sent; empty without teams or a key.
+  std::string team_;
   RequestFingerprint fingerprint_;
   /// Whether a backend server has replied to an attempt, so that the request is
   /// no cause of crashes. Set by the connections that the attempts are sent on.
