policy: a restarted instance has no slack of extra attempts for one window

Cause: an instance keeps the extra attempts of the last window in memory only, so a new process began with its whole share of the slack.

Change: for one window after the start of a process that may follow an earlier one, only the ratio of its own requests counts. The first start of a deployment has its slack at once.

Measured: the new test of 9 instances that restart in turn exceeds the budget on the code before and passes now; test_policy (budget) and test_forward pass.

--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -51,6 +51,9 @@
   ServerConnectionSettings serverConnections_;
   LatencyPredictorSettings rank_;
   ExtraAttemptBudgetSettings extraBudget_;
+  /// Whether an earlier process of this instance may have used its share of the
+  /// slack of extra attempts shortly before this one started.
+  bool mayBeRestart_ = false;
   /// Quantile, 0 to 1, of the latency of a route's first attempts that gives
   /// the delay of a hedge.
   double hedgeQuantile_ = 0.95;
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -373,7 +373,10 @@
   if (found != budgets_.end()) {
     return found->second;
   }
-  ExtraAttemptBudget budget(settings_.extraBudget_);
+  const TimePoint startedAt = settings_.mayBeRestart_
+                                ? startedAt_
+                                : startedAt_ - settings_.extraBudget_.window_;
+  ExtraAttemptBudget budget(settings_.extraBudget_, startedAt);
   budget.SetInstances(instances_);
   return budgets_.emplace(aService, budget).first->second;
 }
--- a/src/policy/ExtraAttemptBudget.cpp
+++ b/src/policy/ExtraAttemptBudget.cpp
@@ -4,8 +4,10 @@
 
 namespace foxtail {
 
-ExtraAttemptBudget::ExtraAttemptBudget(ExtraAttemptBudgetSettings aSettings)
+ExtraAttemptBudget::ExtraAttemptBudget(ExtraAttemptBudgetSettings aSettings,
+                                       TimePoint aStartedAt)
   : settings_(aSettings)
+  , slackFrom_(aStartedAt + aSettings.window_)
 {
 }
 
@@ -44,9 +46,11 @@
     // Requests of the oldest slice may lie outside the window.
     requests += i == oldest ? 0 : slices_[i].requests_;
   }
+  const double slack = aNow < slackFrom_
+                         ? 0
+                         : settings_.slack_ / std::max<uint32_t>(instances_, 1);
   return { static_cast<double>(extraAttempts),
-           settings_.ratio_ * kUsableRatio * requests +
-             settings_.slack_ / std::max<uint32_t>(instances_, 1) };
+           settings_.ratio_ * kUsableRatio * requests + slack };
 }
 
 void ExtraAttemptBudget::Advance(TimePoint aNow)
--- a/src/policy/ExtraAttemptBudget.h
+++ b/src/policy/ExtraAttemptBudget.h
@@ -27,7 +27,11 @@
 class ExtraAttemptBudget
 {
 public:
-  explicit ExtraAttemptBudget(ExtraAttemptBudgetSettings aSettings);
+  /// @param aStartedAt start of the process. For one window from then on the
+  /// slack is not available, as an earlier process of the instance may have
+  /// used its share in that window.
+  ExtraAttemptBudget(ExtraAttemptBudgetSettings aSettings,
+                     TimePoint aStartedAt);
 
   /// @param aInstances instances that may share the slack, at least 1.
   void SetInstances(uint32_t aInstances) { instances_ = aInstances; }
@@ -68,6 +72,8 @@
   WindowCounts CountWindow(TimePoint aNow);
 
   ExtraAttemptBudgetSettings settings_;
+  /// When the slack becomes available.
+  TimePoint slackFrom_;
   uint32_t instances_ = 1;
   /// One slice more than a window has, so that extra attempts are dropped only
   /// after a whole window.
--- a/tests/forward/RouteTest.cpp
+++ b/tests/forward/RouteTest.cpp
@@ -166,7 +166,7 @@
 {
   // A service of 960 requests in 10 s, of which an instance sends three.
   const ForwardSettings settings;
-  ExtraAttemptBudget budget({ 0.2, seconds(10), 628 });
+  ExtraAttemptBudget budget({ 0.2, seconds(10), 628 }, TimePoint{});
   budget.SetInstances(294);
   const TimePoint start{ seconds(100) };
   int hedges = 0;
--- a/tests/policy/ExtraAttemptBudgetTest.cpp
+++ b/tests/policy/ExtraAttemptBudgetTest.cpp
@@ -56,8 +56,8 @@
 {
   CHECK(rc::check("for any distribution of requests over instances", [] {
     const auto instances = *rc::gen::inRange<uint32_t>(1, 10);
-    std::vector<ExtraAttemptBudget> budgets(instances,
-                                            ExtraAttemptBudget(kSettings));
+    std::vector<ExtraAttemptBudget> budgets(
+      instances, ExtraAttemptBudget(kSettings, TimePoint{}));
     for (ExtraAttemptBudget& budget : budgets) {
       budget.SetInstances(instances);
     }
@@ -86,7 +86,7 @@
 
 TEST_CASE("budget: optional attempts leave the reserve to necessary ones")
 {
-  ExtraAttemptBudget budget({ 0.2, milliseconds(10000), 10 });
+  ExtraAttemptBudget budget({ 0.2, milliseconds(10000), 10 }, TimePoint{});
   const TimePoint now{ seconds(50) };
   int optional = 0;
   while (budget.TryTake(0.5, now)) {
@@ -104,10 +104,46 @@
 TEST_CASE(
   "budget: used attempts are available again after one window, not earlier")
 {
-  ExtraAttemptBudget budget({ 0, milliseconds(10000), 4 });
+  ExtraAttemptBudget budget({ 0, milliseconds(10000), 4 }, TimePoint{});
   const TimePoint now{ seconds(50) };
   while (budget.TryTake(0, now)) {
   }
   CHECK_FALSE(budget.TryTake(0, now + milliseconds(9900)));
   CHECK(budget.TryTake(0, now + milliseconds(11000)));
 }
+
+TEST_CASE("budget: instances that restart in turn stay within it together")
+{
+  // Review case 5: servers reject all requests while the instances are
+  // restarted one after the other, and each new process spends what it may.
+  constexpr uint32_t kInstances = 9;
+  TimePoint now{ seconds(100) };
+  std::vector<ExtraAttemptBudget> budgets(
+    kInstances, ExtraAttemptBudget(kSettings, TimePoint{}));
+  std::vector<Event> events;
+  for (int step = 0; step < 1500; ++step) {
+    now += milliseconds(20);
+    const auto instance = static_cast<size_t>(step) % kInstances;
+    const bool isRestart = step % 55 == 0;
+    if (isRestart) {
+      budgets[(static_cast<size_t>(step) / 55) % kInstances] =
+        ExtraAttemptBudget(kSettings, now);
+    }
+    ExtraAttemptBudget& budget = budgets[instance];
+    budget.SetInstances(kInstances);
+    budget.OnRequest(now);
+    events.push_back({ now, false });
+    while (budget.TryTake(0, now)) {
+      events.push_back({ now, true });
+    }
+  }
+  CHECK(WorstExcess(events) <= 0);
+}
+
+TEST_CASE("budget: a new process has its slack after one window")
+{
+  const TimePoint start{ seconds(50) };
+  ExtraAttemptBudget budget({ 0, milliseconds(10000), 4 }, start);
+  CHECK_FALSE(budget.TryTake(0, start + milliseconds(9900)));
+  CHECK(budget.TryTake(0, start + milliseconds(10000)));
+}
--- a/tests/policy/ForwardLoadTest.cpp
+++ b/tests/policy/ForwardLoadTest.cpp
@@ -44,8 +44,8 @@
   {
     for (size_t i = 0; i < kZones; ++i) {
       servers_.push_back({ aFaults[i], {}, 0, {} });
-      entries_.push_back(
-        { ExtraAttemptBudget(kBudget), std::vector<View>(kZones) });
+      entries_.push_back({ ExtraAttemptBudget(kBudget, TimePoint{}),
+                           std::vector<View>(kZones) });
       entries_.back().budget_.SetInstances(kZones);
     }
   }
