forward: requests need the key of a team

Cause: a document may list teams; entry instances ignored the list, and a key in the Authorization header reached the backend servers. Change: RouteTable owns a TeamTable (key and name to team), TeamAccess decides from values, TeamGate applies it when a request begins: 401, 503 with Retry-After (newer document known, or fail_closed without control), or the team's name in place of the credentials and of a team header that the caller sent. The pools leave the credentials out of a request that began before the document had teams. Without a list of teams the header lines are forwarded unchanged.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -70,6 +70,10 @@
   });
   gateway_.Crashes().OnReport(
     [this](const CrashReport& aReport) { feed_.ReportCrash(aReport); });
+  gateway_.SetControlContact([this] {
+    return ControlContact{ feed_.LatestKnownVersion() > documentInForce_,
+                           feed_.LastReplyAt() };
+  });
   gateway_.Start(Now());
   feed_.Start(Now());
   ScheduleReadinessCheck();
@@ -112,6 +116,7 @@
     .Add("version", aVersion)
     .Add("routes", document->routes_.size())
     .Add("services", document->services_.size());
+  documentInForce_ = aVersion;
   gateway_.SetRoutes(std::make_shared<const RouteTable>(*std::move(document)),
                      aNow);
   versionGauge_.Set(static_cast<double>(aVersion.Value()));
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -103,6 +103,8 @@
   boost::asio::steady_timer readinessTimer_;
   std::atomic<bool> isDraining_{ false };
   std::atomic<bool> isReady_{ false };
+  /// Version of the last document that was readable.
+  DocumentVersion documentInForce_;
   bool wasReady_ = false;
   bool wasFollowing_ = false;
   prometheus::Gauge& versionGauge_;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -272,6 +272,7 @@
   aSource.isLost_ = false;
   aSource.hasReplied_ = true;
   aSource.lastReplyAt_ = aNow;
+  lastReplyAt_ = aNow;
   aSource.id_ = aReply.source_;
   aSource.controlsRevision_ = aReply.controlsRevision_;
   if (aRequest.wantsRenewals_) {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -143,6 +143,10 @@
   bool IsReady(TimePoint aNow) const;
   const ServerDirectory& Directory() const { return directory_; }
   DocumentVersion Version() const { return version_; }
+  /// @return the newest version that a source has reported.
+  DocumentVersion LatestKnownVersion() const { return latestKnownVersion_; }
+  /// @return when any source last replied; zero before the first reply.
+  TimePoint LastReplyAt() const { return lastReplyAt_; }
   /// @return number of sources whose last reply is recent.
   size_t LiveSources(TimePoint aNow) const;
   /// @return number of sources that are polled.
@@ -235,6 +239,8 @@
   boost::asio::io_context& context_;
   FeedListener& listener_;
   ServerDirectory directory_;
+  /// When any source last replied, including those that are polled no more.
+  TimePoint lastReplyAt_{};
   /// When a source last replied with renewals.
   TimePoint renewedAt_{};
   /// Whether a source has sent its servers.
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -66,6 +66,7 @@
 void BackendPoolSet::DistributeConnections(const RouteTable& aTable,
                                            uint32_t aInstances)
 {
+  shared_.hasTeams_ = aTable.Teams() != nullptr;
   maxConnectionsByService_.clear();
   for (const RoutedService& service : aTable.Document().services_) {
     const double maxConnections =
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -40,7 +40,8 @@
   /// their address or service.
   void Update(const ServerDirectory& aDirectory, TimePoint aNow);
 
-  /// Sets the limits on this instance's connections to each server.
+  /// Applies a document: sets the limits on this instance's connections to each
+  /// server, and whether the document has teams.
   ///
   /// @param aInstances number of instances that share a server's connections,
   /// at least 1.
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace foxtail {
@@ -29,6 +30,9 @@
   std::string credentials_;
   /// Team whose key the caller sent; empty without teams or a key.
   std::string team_;
+  /// Whether headers_ has the team's name in place of the caller's credentials
+  /// and team header.
+  bool hasTeamHeaders_ = false;
   RequestFingerprint fingerprint_;
   /// Whether a backend server has replied to an attempt, so that the request is
   /// no cause of crashes. Set by the connections that the attempts are sent on.
@@ -156,6 +160,8 @@
 {
 public:
   std::shared_ptr<const ForwardRequest> request_;
+  /// Header lines that replace those of the request, if set.
+  std::optional<std::string> headers_;
   /// Time until which a reply is of use; sent to the server as the time left.
   TimePoint deadline_{};
   /// Maximum body size of a reply whose length the server does not state.
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -12,6 +12,7 @@
 #include "policy/ReplyLimits.h"
 #include "policy/StartupHold.h"
 #include "policy/ZoneMap.h"
+#include "team/TeamAccess.h"
 
 #include <string>
 
@@ -82,6 +83,7 @@
   /// After servers have crashed together, connections to some of them seem to
   /// be open for this long: the transit time between regions.
   milliseconds crashTransitTime_ = CrashSuspectsSettings{}.transitTime_;
+  TeamAccessSettings teamAccess_;
   /// Time limit of a request that states none.
   milliseconds defaultDeadline_{ 30000 };
   /// Retry-After of a refusal for which there is no better estimate.
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -96,6 +96,7 @@
               [this](const ServiceName& aService) -> ExtraAttemptBudget& {
                 return BudgetOf(aService);
               } }
+  , teamGate_(settings_, headerNames_, aMetrics)
   , heldTotal_(aMetrics.Counter("foxtail_forward_held_total",
                                 "Requests held while the instance started"))
   , quarantineRefusals_(aMetrics.Counter(
@@ -192,7 +193,7 @@
   }
 }
 
-bool Gateway::CanServe(const ForwardRequest& aRequest) const
+bool Gateway::CanServe(const ForwardRequest& aRequest, TimePoint aNow) const
 {
   if (table_ == nullptr) {
     return false;
@@ -202,6 +203,12 @@
     // Such a request is refused; there is nothing to wait for.
     return true;
   }
+  const TeamAccess access = teamGate_.Decide(*table_, *route, aRequest, aNow);
+  if (!std::holds_alternative<AccessAllowed>(access)) {
+    // A refusal with 401 is final; one with 503 ends with a newer document or a
+    // reply of control, which may come during the startup.
+    return std::holds_alternative<AccessDenied>(access);
+  }
   const std::vector<ServiceName> services = ServicesOf(route->target_);
   const auto available = static_cast<uint32_t>(std::count_if(
     services.begin(), services.end(), [&](const ServiceName& aService) {
@@ -218,7 +225,9 @@
 void Gateway::ReleaseHeld(TimePoint aNow)
 {
   held_.ReleaseDue(
-    [this](const ForwardRequest& aRequest) { return CanServe(aRequest); },
+    [this, aNow](const ForwardRequest& aRequest) {
+      return CanServe(aRequest, aNow);
+    },
     aNow);
 }
 
@@ -229,7 +238,8 @@
 {
   const StartupDecision decision = DecideDuringStartup(
     settings_.startupHold_, startedAt_, aRequest.deadline_, aNow);
-  if (std::holds_alternative<StartupOver>(decision) || CanServe(aRequest)) {
+  if (std::holds_alternative<StartupOver>(decision) ||
+      CanServe(aRequest, aNow)) {
     return BeginNow(std::move(aRequest), std::move(aOnComplete), aNow);
   }
   if (const auto* later = std::get_if<ReturnLater>(&decision)) {
@@ -281,6 +291,10 @@
       "no route matches this host and path; check the document"));
     return nullptr;
   }
+  if (auto refusal = teamGate_.Check(*table_, *route, aRequest, aNow)) {
+    aOnComplete(*std::move(refusal));
+    return nullptr;
+  }
   if (IsTooLateForStop(*route, aRequest, aNow)) {
     aOnComplete(MakeLocalAnswer(
       AnswerSource::NotRun,
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -4,6 +4,7 @@
 #include "forward/ForwardSettings.h"
 #include "forward/HeldRequests.h"
 #include "forward/RequestHandler.h"
+#include "forward/TeamGate.h"
 #include "policy/PauseDetector.h"
 #include "policy/WeightedRoundRobin.h"
 
@@ -43,6 +44,12 @@
   /// Sets the function that receives the servers that this instance finds slow.
   /// Called before Start().
   void OnSlowServer(SlowServerReporter::Callback aCallback);
+  /// Sets the source of what is known from control, for the check of team keys.
+  /// Called before Start() or on the gateway's thread.
+  void SetControlContact(TeamGate::ContactSource aSource)
+  {
+    teamGate_.SetContactSource(std::move(aSource));
+  }
   /// @param aInstances number of entry instances that share connections,
   /// budgets and rate limits.
   void SetInstances(uint32_t aInstances, TimePoint aNow);
@@ -84,9 +91,9 @@
 private:
   struct HandlerFactory;
 
-  /// @return whether the request's route is known and enough backend servers
-  /// for a successful answer are.
-  bool CanServe(const ForwardRequest& aRequest) const;
+  /// @return whether the request's route is known, its key is checked, and
+  /// enough backend servers for a successful answer are known.
+  bool CanServe(const ForwardRequest& aRequest, TimePoint aNow) const;
   std::shared_ptr<PendingRequest> BeginNow(
     ForwardRequest aRequest,
     RequestHandler::CompletionCallback aOnComplete,
@@ -124,6 +131,7 @@
   std::shared_ptr<const RouteTable> table_;
   RequestHandlerContext context_;
   HeldRequests held_;
+  TeamGate teamGate_;
   PauseDetector pauseDetector_;
   prometheus::Counter& heldTotal_;
   prometheus::Counter& quarantineRefusals_;
--- a/src/forward/HopByHop.cpp
+++ b/src/forward/HopByHop.cpp
@@ -56,4 +56,26 @@
   }
 }
 
+std::string WithoutHeaders(std::string_view aHeaders,
+                           std::span<const std::string_view> aExcept)
+{
+  std::string kept;
+  kept.reserve(aHeaders.size());
+  while (!aHeaders.empty()) {
+    const size_t end = aHeaders.find("\r\n");
+    const size_t length =
+      end == std::string_view::npos ? aHeaders.size() : end + 2;
+    const std::string_view line = aHeaders.substr(0, length);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (std::none_of(
+          aExcept.begin(), aExcept.end(), [&](std::string_view aName) {
+            return boost::beast::iequals(aName, name);
+          })) {
+      kept += line;
+    }
+    aHeaders.remove_prefix(length);
+  }
+  return kept;
+}
+
 } // namespace foxtail
--- a/src/forward/HopByHop.h
+++ b/src/forward/HopByHop.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace foxtail {
 
@@ -14,6 +15,11 @@
                            const boost::beast::http::fields& aHeaders,
                            std::span<const std::string> aExcept);
 
+/// @return the header lines of @p aHeaders, each terminated by CRLF, without
+/// those in @p aExcept.
+std::string WithoutHeaders(std::string_view aHeaders,
+                           std::span<const std::string_view> aExcept);
+
 } // namespace foxtail
 
 #endif // FORWARD_HOPBYHOP_H
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -502,6 +502,9 @@
     .Add("left_ms", ToMilliseconds(aTimeLeft))
     .Add("hedges", hedges_)
     .Add("retries", retries_);
+  if (!request_->team_.empty()) {
+    line.Add("team", request_->team_);
+  }
   std::string faults;
   std::string outstanding;
   for (const ServiceAttempts& attempts : AllAttempts()) {
--- a/src/forward/RouteTable.cpp
+++ b/src/forward/RouteTable.cpp
@@ -25,6 +25,9 @@
   for (const RoutedService& service : document_.services_) {
     services_.emplace(service.name_, &service);
   }
+  if (document_.teams_) {
+    teams_.emplace(*document_.teams_);
+  }
 }
 
 const Route* RouteTable::Find(std::string_view aHost,
--- a/src/forward/RouteTable.h
+++ b/src/forward/RouteTable.h
@@ -2,6 +2,7 @@
 #define FORWARD_ROUTETABLE_H
 
 #include "forward/RouteDocument.h"
+#include "team/TeamTable.h"
 
 #include <memory>
 #include <optional>
@@ -28,6 +29,9 @@
   /// @return the service, or null when it is not in the document.
   const RoutedService* FindService(const ServiceName& aName) const;
 
+  /// @return the teams, or null when the document has no list of teams.
+  const TeamTable* Teams() const { return teams_ ? &*teams_ : nullptr; }
+
   const RouteDocument& Document() const { return document_; }
   DocumentVersion Version() const { return document_.version_; }
 
@@ -36,6 +40,7 @@
   /// Keyed by the lower-case host followed by the path prefix.
   std::unordered_map<std::string, const Route*> byHostAndPrefix_;
   std::unordered_map<ServiceName, const RoutedService*> services_;
+  std::optional<TeamTable> teams_;
 };
 
 } // namespace foxtail
--- a/src/forward/ServerConnection.cpp
+++ b/src/forward/ServerConnection.cpp
@@ -152,17 +152,19 @@
   if (request.isHead_) {
     StartParser();
   }
+  const std::string& headers =
+    exchange_->headers_ ? *exchange_->headers_ : request.headers_;
   const auto timeLeftMs = std::max<int64_t>(
     1, duration_cast<milliseconds>(exchange_->deadline_ - aNow).count());
   output_.clear();
   written_ = 0;
   output_.reserve(request.method_.size() + request.target_.size() +
-                  request.headers_.size() + request.body_.size() + 256);
+                  headers.size() + request.body_.size() + 256);
   output_ += request.method_;
   output_ += ' ';
   output_ += request.target_;
   output_ += " HTTP/1.1\r\n";
-  output_ += request.headers_;
+  output_ += headers;
   output_ +=
     headerNames_.timeLeftMs_ + ": " + std::to_string(timeLeftMs) + "\r\n";
   output_ += headerNames_.expectedServer_ + ": " + server_ + "\r\n";
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include "forward/ServerConnectionPool.h"
 
+#include "forward/TeamGate.h"
+
 #include "core/Log.h"
 #include "core/Metrics.h"
 
@@ -269,6 +271,11 @@
       shared_.metrics_.sentToRateLimited_.Increment();
       ++sentSinceRateLimitLog_;
     }
+    if (shared_.hasTeams_ && !exchange->request_->hasTeamHeaders_) {
+      // The request began under a document without teams.
+      exchange->headers_ =
+        WithoutTeamHeaders(exchange->request_->headers_, headerNames_);
+    }
     connection->Send(exchange, aNow);
   }
   while (waiting_.size() > connecting_ &&
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -45,6 +45,8 @@
   SlowServerReporter slowServers_;
   CrashMonitor crashes_;
   RandomSource random_;
+  /// Whether the document in force has teams.
+  bool hasTeams_ = false;
 };
 
 /// This instance's connections to one backend server, and the statistics that
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -103,6 +103,7 @@
     return response.ok() ? *response : HttpResponse{};
   }
 
+  std::string MetricsText() const { return metrics_.ToText(); }
   Gateway& GetGateway() { return gateway_; }
   CallerPort& Callers() { return callers_; }
 
