forward, backend, http: a reply with a status that HTTP does not define is malformed

Cause: the parser accepts any three digits as a status. A server's reply with status 000 to 099 or 600 to 999 was delivered to the caller; with a refusal header it counted as "not run". The product's own backend connections took such a refusal as not run and kept the connection, and took an informational reply for the final one, as calls between own processes did.

Change: ClassifyStatus (core/ReplyStatus.h) is the one check. ServerConnection closes the connection with Malformed as soon as the head is read, for single requests and shards; ReplyParser fails the parse; HttpClient fails the exchange. ReplyParser and HttpClient skip up to 8 informational replies.

--- a/src/backend/BackendConnection.cpp
+++ b/src/backend/BackendConnection.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr size_t kReadBytes = 4096;
+/// Maximum informational (1xx) replies to one request.
+constexpr uint32_t kMaxInformationalReplies = 8;
 
 // Formats the headers that differ between attempts.
 class AttemptHead
@@ -120,6 +122,7 @@
   state_ = State::Busy;
   stateSince_ = aNow;
   parser_.emplace(settings_.maxReplyBytes_);
+  informationalReplies_ = 0;
   const AttemptHead head(*attempt_, aNow);
   const std::array<asio::const_buffer, 3> buffers{
     asio::buffer(attempt_->replica_->requestHead_),
@@ -134,6 +137,7 @@
   state_ = State::Cancelling;
   stateSince_ = aNow;
   parser_.emplace(settings_.maxReplyBytes_);
+  informationalReplies_ = 0;
   const std::string text =
     "POST /v1/cancel HTTP/1.1\r\nHost: backend\r\nFoxtail-Attempt: " +
     std::to_string(aId.Value()) + "\r\nContent-Length: 0\r\n\r\n";
@@ -221,10 +225,17 @@
       Fail(isTooLarge ? AttemptFault::TooLarge : AttemptFault::Malformed);
       return false;
     }
-    if (parser_->is_header_done() && !parser_->HasKnownLength()) {
+    const bool isInformational = parser_->IsInformational();
+    const bool hasUnknownEnd =
+      parser_->is_header_done() && !parser_->HasKnownLength();
+    if (isInformational ? ++informationalReplies_ > kMaxInformationalReplies
+                        : hasUnknownEnd) {
       Fail(AttemptFault::Malformed);
       return false;
     }
+    if (isInformational) {
+      parser_.emplace(settings_.maxReplyBytes_);
+    }
   }
   if (!parser_->is_done()) {
     return true;
--- a/src/backend/BackendConnection.h
+++ b/src/backend/BackendConnection.h
@@ -125,6 +125,8 @@
   Socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<ReplyParser> parser_;
+  /// Informational (1xx) replies to the current request.
+  uint32_t informationalReplies_ = 0;
   State state_ = State::Connecting;
   bool hasCompletedExchange_ = false;
   TimePoint stateSince_;
--- a/src/backend/ReplyParser.cpp
+++ b/src/backend/ReplyParser.cpp
@@ -1,5 +1,7 @@
 #include "backend/ReplyParser.h"
 
+#include "core/ReplyStatus.h"
+
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
@@ -28,9 +30,18 @@
   eager(true);
 }
 
-void ReplyParser::on_response_impl(int aCode, Text, int, Error&)
+void ReplyParser::on_response_impl(int aCode, Text, int, Error& aError)
 {
   status_ = static_cast<unsigned>(aCode);
+  if (ClassifyStatus(status_) == ReplyStatusClass::Undefined) {
+    aError = make_error_code(boost::beast::http::error::bad_status);
+  }
+}
+
+bool ReplyParser::IsInformational() const
+{
+  return is_done() &&
+         ClassifyStatus(status_) == ReplyStatusClass::Informational;
 }
 
 void ReplyParser::on_field_impl(Field, Text aName, Text aValue, Error&)
--- a/src/backend/ReplyParser.h
+++ b/src/backend/ReplyParser.h
@@ -19,6 +19,9 @@
   explicit ReplyParser(uint64_t aMaxBodyBytes);
 
   unsigned Status() const { return status_; }
+  /// @return whether this is a complete informational (1xx) reply, after which
+  /// the final one follows.
+  bool IsInformational() const;
   uint64_t AttemptId() const { return attempt_; }
   const std::string& Version() const { return version_; }
   const std::string& Shard() const { return shard_; }
--- a/src/forward/ServerConnection.cpp
+++ b/src/forward/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "forward/ServerConnection.h"
 
+#include "core/ReplyStatus.h"
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -253,10 +255,15 @@
             aNow);
       return;
     }
-    const bool isInformational = parser_->is_done() &&
-                                 parser_->get().result_int() >= 100 &&
-                                 parser_->get().result_int() < 200;
-    if (isInformational) {
+    if (!parser_->is_header_done()) {
+      continue;
+    }
+    const ReplyStatusClass status = ClassifyStatus(parser_->get().result_int());
+    if (status == ReplyStatusClass::Undefined) {
+      Close(ExchangeFault::Malformed, aNow);
+      return;
+    }
+    if (status == ReplyStatusClass::Informational) {
       if (++informationalReplies_ > kMaxInformationalReplies) {
         Close(ExchangeFault::Malformed, aNow);
         return;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include "core/Error.h"
+#include "core/ReplyStatus.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,40 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+namespace {
+
+/// Maximum informational (1xx) replies to one request.
+constexpr uint32_t kMaxInformationalReplies = 8;
+
+/// Reads a final response of HTTP; everything else is an error.
+asio::awaitable<HttpResponse> ReadFinalResponse(beast::tcp_stream& aStream,
+                                                beast::flat_buffer& aBuffer,
+                                                error_code& aError)
+{
+  for (uint32_t i = 0; i <= kMaxInformationalReplies; ++i) {
+    HttpResponse response;
+    co_await beast::http::async_read(
+      aStream,
+      aBuffer,
+      response,
+      asio::redirect_error(asio::use_awaitable, aError));
+    if (aError) {
+      co_return response;
+    }
+    const ReplyStatusClass status = ClassifyStatus(response.result_int());
+    if (status == ReplyStatusClass::Final) {
+      co_return response;
+    }
+    if (status == ReplyStatusClass::Undefined) {
+      break;
+    }
+  }
+  aError = beast::http::make_error_code(beast::http::error::bad_status);
+  co_return HttpResponse{};
+}
+
+} // namespace
+
 HttpClient::HttpClient(asio::any_io_executor aExecutor, TcpEndpoint aEndpoint)
   : endpoint_(std::move(aEndpoint))
   , stream_(std::move(aExecutor))
@@ -78,11 +113,7 @@
     stream_, aRequest, asio::redirect_error(asio::use_awaitable, error));
   HttpResponse response;
   if (!error) {
-    co_await beast::http::async_read(
-      stream_,
-      buffer_,
-      response,
-      asio::redirect_error(asio::use_awaitable, error));
+    response = co_await ReadFinalResponse(stream_, buffer_, error);
   }
   if (error) {
     Close();
--- a/tests/backend/BackendFleetTest.cpp
+++ b/tests/backend/BackendFleetTest.cpp
@@ -281,6 +281,29 @@
       AttemptOutcome::Failed,
       AttemptFault::BadStatus,
       true },
+    { "status that HTTP does not define",
+      with([](Parts& aParts) { aParts.status_ = "000 "; }),
+      AttemptOutcome::Failed,
+      AttemptFault::Malformed,
+      false },
+    { "refusal with a status that HTTP does not define",
+      with([](Parts& aParts) {
+        aParts.status_ = "600 Busy";
+        aParts.extra_ =
+          "Foxtail-Outcome: not_run\r\nFoxtail-Reason: overloaded\r\n";
+      }),
+      AttemptOutcome::Failed,
+      AttemptFault::Malformed,
+      false },
+    { "whole after an informational reply",
+      [](const Parts& aParts) {
+        return FakeReply{
+          "HTTP/1.1 103 Early Hints\r\n\r\n" + aParts.Text(), {}, false, false
+        };
+      },
+      AttemptOutcome::Replied,
+      AttemptFault::None,
+      true },
   };
   for (const Row& row : rows) {
     CAPTURE(row.name_);
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -203,3 +204,53 @@
   CHECK(fixture.server_.WaitUntilIdle(milliseconds(3000)));
   CHECK(fixture.server_.OpenConnections() == 0);
 }
+
+// Calls between own processes took any three digits for a status, and an
+// informational reply for the final one.
+TEST_CASE("a response that HTTP does not define is a failed exchange")
+{
+  struct Row
+  {
+    const char* statusLine_;
+    bool isUsed_;
+  };
+  const Row rows[] = {
+    { "HTTP/1.1 200 OK", true },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", true },
+    { "HTTP/1.1 000 ", false },
+    { "HTTP/1.1 099 Odd", false },
+    { "HTTP/1.1 600 Odd", false },
+    { "HTTP/1.1 999 Odd", false },
+    { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 600 Odd", false },
+    { "HTTP/2.0 200 OK", false },
+    { "ICY 200 OK", false },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.statusLine_);
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(
+      context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread server([&] {
+      asio::ip::tcp::socket socket(context);
+      acceptor.accept(socket);
+      boost::system::error_code error;
+      std::string request;
+      asio::read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+      asio::write(socket,
+                  asio::buffer(std::string(row.statusLine_) +
+                               "\r\nContent-Length: 2\r\n\r\nok"),
+                  error);
+    });
+    const auto response =
+      BlockingExchange(acceptor.local_endpoint(),
+                       MakeRequest(boost::beast::http::verb::get, "/"),
+                       seconds(3));
+    server.join();
+    CHECK(response.ok() == row.isUsed_);
+    if (response.ok()) {
+      CHECK(response->result_int() == 200);
+      CHECK(response->body() == "ok");
+    }
+  }
+}
