forward: requests stay in the allowed regions

Cause: routes and teams may list regions; attempts went to any server. Change: RegionFilter holds the list of the route and that of the team. BackendPoolSet applies it when it chooses a server, finds the earliest time and checks for available servers, so that first attempts, hedges, retries, preconnects and the check for enough shards obey it. Without a server inside, a request is refused at once: 503, not run, Retry-After; counted in foxtail_forward_region_refusals_total.

--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -94,6 +94,7 @@
 }
 
 std::optional<PoolChoice> BackendPoolSet::Choose(const ServiceName& aService,
+                                                 const RegionFilter& aRegions,
                                                  const PoolList& aTried,
                                                  Duration aServerTime,
                                                  double aBudgetUsed,
@@ -107,7 +108,8 @@
   absl::InlinedVector<ReplicaCandidate, 12> states;
   absl::InlinedVector<const std::shared_ptr<ServerConnectionPool>*, 12> pools;
   for (const auto& pool : found->second) {
-    if (pool->AcceptsRequests() && pool->NextPermitAt(aNow) <= aLatestSendAt &&
+    if (IsUsable(*pool, aRegions) &&
+        pool->NextPermitAt(aNow) <= aLatestSendAt &&
         std::find(aTried.begin(), aTried.end(), pool.get()) == aTried.end()) {
       states.push_back(pool->State(aNow));
       pools.push_back(&pool);
@@ -124,6 +126,7 @@
 
 std::optional<TimePoint> BackendPoolSet::EarliestSendAt(
   const ServiceName& aService,
+  const RegionFilter& aRegions,
   TimePoint aNow) const
 {
   std::optional<TimePoint> earliest;
@@ -132,7 +135,7 @@
     return earliest;
   }
   for (const auto& pool : found->second) {
-    if (pool->AcceptsRequests()) {
+    if (IsUsable(*pool, aRegions)) {
       const TimePoint sendAt = pool->NextPermitAt(aNow);
       earliest = std::min(earliest.value_or(sendAt), sendAt);
     }
@@ -140,16 +143,25 @@
   return earliest;
 }
 
-bool BackendPoolSet::HasAvailableServer(const ServiceName& aService) const
+bool BackendPoolSet::HasAvailableServer(const ServiceName& aService,
+                                        const RegionFilter& aRegions) const
 {
   const auto found = byService_.find(aService);
   return found != byService_.end() &&
          std::any_of(
-           found->second.begin(), found->second.end(), [](const auto& aPool) {
-             return aPool->AcceptsRequests();
+           found->second.begin(), found->second.end(), [&](const auto& aPool) {
+             return IsUsable(*aPool, aRegions);
            });
 }
 
+bool BackendPoolSet::IsUsable(const ServerConnectionPool& aPool,
+                              const RegionFilter& aRegions) const
+{
+  return aPool.AcceptsRequests() &&
+         (aRegions.AllowsAll() || aRegions.Allows(settings_.zones_.RegionOf(
+                                    aPool.Announcement().zone_)));
+}
+
 void BackendPoolSet::OnSharedSlowServers(
   const std::vector<SlowServer>& aServers)
 {
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -2,6 +2,7 @@
 #define FORWARD_BACKENDPOOLSET_H
 
 #include "forward/ServerConnectionPool.h"
+#include "team/RegionFilter.h"
 
 #include <absl/container/inlined_vector.h>
 #include <span>
@@ -54,6 +55,7 @@
   /// Chooses the server of a service with the lowest predicted latency for an
   /// attempt.
   ///
+  /// @param aRegions regions of the servers that may receive the request.
   /// @param aTried pools that are excluded.
   /// @param aServerTime usual server time of the request.
   /// @param aBudgetUsed used share of the budget of extra attempts, 0 to 1.
@@ -62,19 +64,24 @@
   /// @return nothing when no other server of the service accepts requests in
   /// time.
   std::optional<PoolChoice> Choose(const ServiceName& aService,
+                                   const RegionFilter& aRegions,
                                    const PoolList& aTried,
                                    Duration aServerTime,
                                    double aBudgetUsed,
                                    TimePoint aLatestSendAt,
                                    TimePoint aNow);
 
-  /// @return the earliest time at which a server of the service accepts a
-  /// request under its rate limit, or nothing when no server accepts requests.
+  /// @return the earliest time at which a server of the service in the allowed
+  /// regions accepts a request under its rate limit, or nothing when no server
+  /// accepts requests.
   std::optional<TimePoint> EarliestSendAt(const ServiceName& aService,
+                                          const RegionFilter& aRegions,
                                           TimePoint aNow) const;
 
-  /// @return whether any server of the service accepts requests.
-  bool HasAvailableServer(const ServiceName& aService) const;
+  /// @return whether any server of the service in the allowed regions accepts
+  /// requests.
+  bool HasAvailableServer(const ServiceName& aService,
+                          const RegionFilter& aRegions) const;
 
   /// Takes servers that several instances found slow.
   void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
@@ -98,6 +105,9 @@
   }
 
 private:
+  /// @return whether a server accepts requests and is in the allowed regions.
+  bool IsUsable(const ServerConnectionPool& aPool,
+                const RegionFilter& aRegions) const;
   void Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow);
   void Remove(const std::shared_ptr<ServerConnectionPool>& aPool,
               TimePoint aNow);
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -108,6 +108,9 @@
   , tickTimer_(aContext)
 {
   pools_.SetInstances(instances_, TimePoint{});
+  context_.regionRefusals_ = &aMetrics.Counter(
+    "foxtail_forward_region_refusals_total",
+    "Requests refused for lack of a server in the allowed regions");
 }
 
 Gateway::~Gateway() = default;
@@ -204,15 +207,21 @@
     return true;
   }
   const TeamAccess access = teamGate_.Decide(*table_, *route, aRequest, aNow);
-  if (!std::holds_alternative<AccessAllowed>(access)) {
+  const auto* allowed = std::get_if<AccessAllowed>(&access);
+  if (allowed == nullptr) {
     // A refusal with 401 is final; one with 503 ends with a newer document or a
     // reply of control, which may come during the startup.
     return std::holds_alternative<AccessDenied>(access);
   }
+  const RegionFilter regions(route->allowedRegions_, allowed->team_);
+  if (regions.AllowsNone()) {
+    // Such a request is refused, whatever servers are announced.
+    return true;
+  }
   const std::vector<ServiceName> services = ServicesOf(route->target_);
   const auto available = static_cast<uint32_t>(std::count_if(
     services.begin(), services.end(), [&](const ServiceName& aService) {
-      return pools_.HasAvailableServer(aService);
+      return pools_.HasAvailableServer(aService, regions);
     }));
   const auto* gather = std::get_if<GatherTarget>(&route->target_);
   return available >=
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -61,14 +61,15 @@
   std::vector<TimePoint> earliest;
   for (const ServiceAttempts& attempts : attempts_) {
     if (const auto at =
-          context_.pools_.EarliestSendAt(attempts.service_, aNow)) {
+          context_.pools_.EarliestSendAt(attempts.service_, regions_, aNow)) {
       earliest.push_back(*at);
     }
   }
   if (earliest.size() < required) {
     return RefusalAnswer(
       std::to_string(earliest.size()) + " of " + std::to_string(shards) +
-        " shards have a backend server that accepts requests, too few for an "
+        " shards have a backend server" + std::string(OnNoServer()) +
+        " that accepts requests, too few for an "
         "answer; try again, and check the announcements",
       std::nullopt,
       aNow);
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -74,6 +74,7 @@
   , route_(aRoute)
   , stats_(aStats)
   , request_(std::move(aRequest))
+  , regions_(table_->RegionsFor(route_, request_->team_))
   , responseDeadline_(std::min(
       std::min(request_->deadline_, request_->startedAt_ + aRoute.timeout_) -
         request_->returnDelay_ - aContext.settings_.answerTiming_.margin_,
@@ -123,6 +124,7 @@
 {
   return context_.pools_.Choose(
     aAttempts.service_,
+    regions_,
     aAttempts.triedPools_,
     stats_.TypicalServerTime(),
     context_.budgetOf_(aAttempts.service_).UsedFraction(aNow),
@@ -147,7 +149,7 @@
 {
   const auto choice = ChooseServer(aAttempts, aLatestSendAt, aNow);
   if (!choice) {
-    if (context_.pools_.EarliestSendAt(aAttempts.service_, aNow) >
+    if (context_.pools_.EarliestSendAt(aAttempts.service_, regions_, aNow) >
         aLatestSendAt) {
       aAttempts.lastFault_ = ExchangeFault::RateLimited;
     }
@@ -461,6 +463,17 @@
       std::max(settings.retryAfter_, settings.maxRateLimitRetryAfter_)));
 }
 
+std::string_view RequestHandler::OnNoServer() const
+{
+  if (regions_.AllowsAll()) {
+    return {};
+  }
+  if (context_.regionRefusals_ != nullptr) {
+    context_.regionRefusals_->Increment();
+  }
+  return " in the regions that the route and the team allow";
+}
+
 void RequestHandler::Finish(ForwardAnswer aAnswer, TimePoint aNow)
 {
   if (isDone_) {
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -75,6 +75,8 @@
   std::function<ExtraAttemptBudget&(const ServiceName&)> budgetOf_;
   /// Time by which an instance that is stopping sends its last answers.
   TimePoint answerBy_ = TimePoint::max();
+  /// Counts refusals for lack of a server in the allowed regions, if set.
+  prometheus::Counter* regionRefusals_ = nullptr;
 };
 
 /// Handles one request: sends it to backend servers, with retries and hedges,
@@ -222,6 +224,12 @@
                               std::optional<TimePoint> aEarliestSendAt,
                               TimePoint aNow) const;
 
+  /// Counts a refusal for lack of servers.
+  ///
+  /// @return the part of the reason that names the allowed regions, or an empty
+  /// text when all are allowed.
+  std::string_view OnNoServer() const;
+
   const ForwardRequest& Request() const { return *request_; }
   /// @param aAnswerBytes estimated size of the answer.
   /// @return the latest time at which an answer can be sent and still reach the
@@ -233,6 +241,8 @@
   const Route& route_;
   RouteStats& stats_;
   const std::shared_ptr<const ForwardRequest> request_;
+  /// Regions whose servers may receive the request.
+  const RegionFilter regions_;
   /// Latest time at which the final answer is sent, so that it reaches the
   /// caller within its deadline and the route's timeout, and before a stopping
   /// instance ends.
--- a/src/forward/RouteTable.cpp
+++ b/src/forward/RouteTable.cpp
@@ -50,6 +50,14 @@
   return nullptr;
 }
 
+RegionFilter RouteTable::RegionsFor(const Route& aRoute,
+                                    std::string_view aTeam) const
+{
+  const bool hasTeam = teams_ && !aTeam.empty();
+  return { aRoute.allowedRegions_,
+           hasTeam ? teams_->FindByName(aTeam) : nullptr };
+}
+
 const RoutedService* RouteTable::FindService(const ServiceName& aName) const
 {
   const auto found = services_.find(aName);
--- a/src/forward/RouteTable.h
+++ b/src/forward/RouteTable.h
@@ -2,6 +2,7 @@
 #define FORWARD_ROUTETABLE_H
 
 #include "forward/RouteDocument.h"
+#include "team/RegionFilter.h"
 #include "team/TeamTable.h"
 
 #include <memory>
@@ -32,6 +33,10 @@
   /// @return the teams, or null when the document has no list of teams.
   const TeamTable* Teams() const { return teams_ ? &*teams_ : nullptr; }
 
+  /// @param aTeam name of the request's team; empty if it has none.
+  /// @return the regions that the route and the team allow.
+  RegionFilter RegionsFor(const Route& aRoute, std::string_view aTeam) const;
+
   const RouteDocument& Document() const { return document_; }
   DocumentVersion Version() const { return document_.version_; }
 
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -42,19 +42,20 @@
 {
   if (!TrySend(attempts_, 0, LatestSendAt(aNow), aNow)) {
     const auto earliest =
-      context_.pools_.EarliestSendAt(attempts_.service_, aNow);
-    Finish(
-      RefusalAnswer(
-        earliest
-          ? "the backend servers of the service " + attempts_.service_.Value() +
-              " limit the rate of requests; come back after the "
-              "time that is stated"
-          : "no backend server of the service " + attempts_.service_.Value() +
-              " accepts requests; try again, and check its "
-              "announcements",
-        earliest,
-        aNow),
-      aNow);
+      context_.pools_.EarliestSendAt(attempts_.service_, regions_, aNow);
+    Finish(RefusalAnswer(
+             earliest
+               ? "the backend servers of the service " +
+                   attempts_.service_.Value() +
+                   " limit the rate of requests; come back after the "
+                   "time that is stated"
+               : "no backend server of the service " +
+                   attempts_.service_.Value() + std::string(OnNoServer()) +
+                   " accepts requests; try again, and check its "
+                   "announcements",
+             earliest,
+             aNow),
+           aNow);
     return;
   }
   ScheduleTimer(aNow);
--- a/src/policy/ZoneMap.cpp
+++ b/src/policy/ZoneMap.cpp
@@ -21,10 +21,13 @@
   if (aZone == ownZone_) {
     return ZoneDistance::Same;
   }
+  return RegionOf(aZone) == ownRegion_ ? ZoneDistance::Near : ZoneDistance::Far;
+}
+
+std::string_view ZoneMap::RegionOf(const ZoneName& aZone) const
+{
   const auto found = regionOf_.find(aZone);
-  const std::string region =
-    found == regionOf_.end() ? std::string() : found->second;
-  return region == ownRegion_ ? ZoneDistance::Near : ZoneDistance::Far;
+  return found == regionOf_.end() ? std::string_view() : found->second;
 }
 
 } // namespace foxtail
--- a/src/policy/ZoneMap.h
+++ b/src/policy/ZoneMap.h
@@ -5,6 +5,7 @@
 #include "core/Ids.h"
 
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +48,8 @@
   ZoneMap(ZoneName aOwnZone, const std::vector<Region>& aRegions);
 
   ZoneDistance DistanceTo(const ZoneName& aZone) const;
+  /// @return the region of a zone, or an empty text when it is in none.
+  std::string_view RegionOf(const ZoneName& aZone) const;
 
 private:
   ZoneName ownZone_;
