--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -68,6 +68,9 @@
   gateway_.OnSlowServer([this](const SlowServerReport& aReport) {
     feed_.ReportSlowServer(aReport);
   });
+  gateway_.OnServerLeaving([this](const BackendId& aId, uint64_t aStartedAtMs) {
+    feed_.ReportLeavingServer({ aId, aStartedAtMs }, Now());
+  });
   gateway_.Crashes().OnReport(
     [this](const CrashReport& aReport) { feed_.ReportCrash(aReport); });
   gateway_.Start(Now());
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -268,6 +268,7 @@
          listener_.QuarantinesInForce(aNow)) {
       ReportCrash(quarantine);
     }
+    ReportLeavingServersAgain();
   }
   aSource.isLost_ = false;
   aSource.hasReplied_ = true;
@@ -405,13 +406,13 @@
   aRequest.wantsServers_ = false;
 }
 
-asio::awaitable<void> FeedClient::SendReport(std::string aEndpoint,
+asio::awaitable<bool> FeedClient::SendReport(std::string aEndpoint,
                                              FeedRequest aReport,
                                              const char* aWhat)
 {
   const auto endpoint = ToEndpoint(aEndpoint);
   if (!endpoint) {
-    co_return;
+    co_return false;
   }
   Frame frame{ FrameKind::Feed, 0, EncodeFeedRequest(aReport) };
   // g++ 12 destroys temporaries within an awaited expression twice.
@@ -422,9 +423,94 @@
     LogLine(LogLevel::Info, aWhat)
       .Add("servers", aReport.slowServers_.size())
       .Add("crashes", aReport.crashes_.size())
+      .Add("leaving", aReport.leavingServers_.size())
       .Add("endpoint", aEndpoint)
       .Add("error", reply.status());
   }
+  co_return reply.ok();
+}
+
+void FeedClient::ReportLeavingServer(const FeedLeavingServer& aServer,
+                                     TimePoint aNow)
+{
+  // The mark in the directory outlasts a change of the server's address.
+  directory_.MarkLeaving(aServer.id_, aServer.startedAtMs_, aNow);
+  QueueLeavingReport(aServer);
+}
+
+void FeedClient::ReportLeavingServersAgain()
+{
+  if (settings_.isControl_) {
+    return;
+  }
+  for (const auto& [id, record] : directory_.Rows()) {
+    if (record.announcement_.isLeaving_ &&
+        record.announcement_.phase_ != ServerPhase::Gone) {
+      QueueLeavingReport({ id, record.announcement_.startedAtMs_ });
+    }
+  }
+}
+
+void FeedClient::QueueLeavingReport(const FeedLeavingServer& aServer)
+{
+  if (leavingReports_.size() >= settings_.maxReportedServers_ &&
+      !leavingReports_.contains(aServer.id_)) {
+    return;
+  }
+  leavingReports_[aServer.id_] = aServer.startedAtMs_;
+  if (!std::exchange(isReportingLeaving_, true)) {
+    asio::co_spawn(context_, SendLeavingReports(), asio::detached);
+  }
+}
+
+asio::awaitable<void> FeedClient::SendLeavingReports()
+{
+  asio::steady_timer timer(context_, settings_.leavingReportDelay_);
+  bool isToAll = false;
+  while (!leavingReports_.empty()) {
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+    FeedRequest request;
+    for (const auto& [id, startedAtMs] : leavingReports_) {
+      request.leavingServers_.push_back({ id, startedAtMs });
+    }
+    const Source* nearest = FindNearest(DocumentVersion(), Now());
+    std::vector<std::pair<std::string, FeedRequest>> reports;
+    for (const auto& [endpoint, source] : sources_) {
+      if (&source == nearest || (isToAll && source.hasReplied_)) {
+        MakeReport(request, source);
+        reports.emplace_back(endpoint, request);
+      }
+    }
+    bool isConfirmed = false;
+    for (auto& [endpoint, report] : reports) {
+      auto sending =
+        SendReport(endpoint, std::move(report), "leaving_not_reported");
+      const bool isReceived = co_await std::move(sending);
+      isConfirmed = isConfirmed || isReceived;
+      if (isConfirmed) {
+        break;
+      }
+    }
+    // Servers that have left need no report any more.
+    std::erase_if(leavingReports_, [&](const auto& aRow) {
+      const ServerRecord* record = directory_.Find(aRow.first);
+      const bool isSent =
+        std::any_of(request.leavingServers_.begin(),
+                    request.leavingServers_.end(),
+                    [&](const FeedLeavingServer& aServer) {
+                      return aServer.id_ == aRow.first &&
+                             aServer.startedAtMs_ == aRow.second;
+                    });
+      return (isConfirmed && isSent) || record == nullptr ||
+             record->announcement_.startedAtMs_ != aRow.second ||
+             record->announcement_.phase_ == ServerPhase::Gone;
+    });
+    isToAll = !isConfirmed;
+    timer.expires_after(settings_.retryDelay_);
+  }
+  isReportingLeaving_ = false;
 }
 
 void FeedClient::ReportCrash(const CrashReport& aReport)
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -72,6 +72,9 @@
   /// Reports of crashes are collected for this long, as a server that crashes
   /// ends several requests.
   milliseconds crashReportDelay_{ 5 };
+  /// Reports of leaving servers are collected for this long: servers of one
+  /// deployment leave together.
+  milliseconds leavingReportDelay_{ 20 };
   /// Largest number of crash reports in one message; later ones are dropped.
   size_t maxCrashReports_ = 256;
   /// Largest document, in bytes.
@@ -138,6 +141,11 @@
   /// together with reports that follow shortly. Called on worker 0.
   void ReportCrash(const CrashReport& aReport);
 
+  /// Reports a server process whose reply states that it is leaving to the
+  /// nearest source, and to all sources if that one does not confirm it, until
+  /// one does. Called on worker 0.
+  void ReportLeavingServer(const FeedLeavingServer& aServer, TimePoint aNow);
+
   /// @return whether the newest document that any reachable source has is
   /// received, or the wait for it is over.
   bool IsReady(TimePoint aNow) const;
@@ -217,8 +225,15 @@
   /// Turns a request into a report: it asks a source for nothing, so that it is
   /// replied to at once.
   static void MakeReport(FeedRequest& aRequest, const Source& aSource);
+  /// Sends the collected reports of leaving servers until they are confirmed.
+  boost::asio::awaitable<void> SendLeavingReports();
+  /// Reports the marked servers again, as a source that has restarted may lack
+  /// the marks.
+  void ReportLeavingServersAgain();
+  void QueueLeavingReport(const FeedLeavingServer& aServer);
   /// @param aWhat event that is logged when the report does not arrive.
-  boost::asio::awaitable<void> SendReport(std::string aEndpoint,
+  /// @return whether the source has confirmed it.
+  boost::asio::awaitable<bool> SendReport(std::string aEndpoint,
                                           FeedRequest aReport,
                                           const char* aWhat);
   void ApplyQuarantines(const FeedReply& aReply, TimePoint aNow);
@@ -253,6 +268,9 @@
   std::set<std::string> seeds_;
   /// Reports that have not been sent yet, the latest of each server.
   std::map<BackendId, SlowServerReport> reports_;
+  /// Leaving processes that no source has confirmed yet, by their start.
+  std::map<BackendId, uint64_t> leavingReports_;
+  bool isReportingLeaving_ = false;
   /// Reports of crashes that have not been sent yet.
   std::vector<CrashReport> crashReports_;
 };
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -33,6 +33,7 @@
   announcement.warmupLeft_ = milliseconds(aRow.slow_for_ms());
   announcement.startedAtMs_ = aRow.started_at_ms();
   announcement.sequence_ = aRow.sequence();
+  announcement.isLeaving_ = aRow.is_leaving();
   server.age_ = milliseconds(aRow.age_ms());
   return server;
 }
@@ -290,7 +291,8 @@
                                              ToMilliseconds32(row.warmupLeft_),
                                              row.startedAtMs_,
                                              row.sequence_,
-                                             ToMilliseconds32(server.age_)));
+                                             ToMilliseconds32(server.age_),
+                                             row.isLeaving_));
   }
   std::vector<flatbuffers::Offset<wire::FeedRenewal>> renewals;
   for (const FeedRenewal& renewal : aReply.renewals_) {
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -60,6 +60,9 @@
   , crashReportCounter_(
       aMetrics.Counter("foxtail_feed_crash_reports_total",
                        "Reports of crashed backend servers received"))
+  , leavingReportCounter_(
+      aMetrics.Counter("foxtail_feed_leaving_reports_total",
+                       "Reports of leaving backend servers received"))
 {
   aFrames.OnCall(FrameKind::Feed,
                  [this](const InstanceId& aFrom, Frame aFrame) {
@@ -241,6 +244,7 @@
       entryInstances_[aFrom] = Now();
       ApplyReports(aFrom, *request, Now());
       ApplyCrashReports(*request, Now());
+      ApplyLeavingServers(aFrom, *request, Now());
     }
     if (!HasUpdates(*request)) {
       timer =
@@ -287,6 +291,24 @@
   }
 }
 
+void FeedSource::ApplyLeavingServers(const InstanceId& aFrom,
+                                     const FeedRequest& aRequest,
+                                     TimePoint aNow)
+{
+  for (const FeedLeavingServer& server : aRequest.leavingServers_) {
+    leavingReportCounter_.Increment();
+    if (directory_.MarkLeaving(server.id_, server.startedAtMs_, aNow) !=
+        DirectoryUpdateResult::Changed) {
+      continue;
+    }
+    LogLine(LogLevel::Info, "server_leaving")
+      .Add("server", server.id_)
+      .Add("started_at_ms", server.startedAtMs_)
+      .Add("reporter", aFrom);
+    RecordDirectUpdate(server.id_);
+  }
+}
+
 void FeedSource::ApplyCrashReports(const FeedRequest& aRequest, TimePoint aNow)
 {
   const uint64_t before = crashSuspects_.Revision();
@@ -369,8 +391,11 @@
   for (const auto& [id, record] : directory_.Rows()) {
     // A control instance with cursor 0 has just started and may lack servers
     // that this one received from peers, so it receives those as well.
-    const bool isFromPeer =
-      aRequest.isControl_ && cursor != 0 && updatedByPeers_.contains(id);
+    // A leaving mark from here may be followed by a change from a peer within
+    // one batch, so marked servers are always sent.
+    const bool isFromPeer = aRequest.isControl_ && cursor != 0 &&
+                            updatedByPeers_.contains(id) &&
+                            !record.announcement_.isLeaving_;
     if (aRequest.wantsServers_ && record.changedAtRevision_ > cursor &&
         !isFromPeer) {
       reply.servers_.push_back({ record.announcement_, AgeOf(record, aNow) });
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -87,6 +87,10 @@
   void ApplyReports(const InstanceId& aFrom,
                     const FeedRequest& aRequest,
                     TimePoint aNow);
+  /// Marks the servers that the client found to be leaving.
+  void ApplyLeavingServers(const InstanceId& aFrom,
+                           const FeedRequest& aRequest,
+                           TimePoint aNow);
   /// Applies the client's reports of crashes and quarantines.
   void ApplyCrashReports(const FeedRequest& aRequest, TimePoint aNow);
   bool HasUpdates(const FeedRequest& aRequest) const
@@ -136,6 +140,7 @@
   prometheus::Counter& requestCounter_;
   prometheus::Counter& slowReportCounter_;
   prometheus::Counter& crashReportCounter_;
+  prometheus::Counter& leavingReportCounter_;
 };
 
 } // namespace foxtail
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -620,7 +620,8 @@
     VT_SLOW_FOR_MS = 16,
     VT_STARTED_AT_MS = 18,
     VT_SEQUENCE = 20,
-    VT_AGE_MS = 22
+    VT_AGE_MS = 22,
+    VT_IS_LEAVING = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -652,6 +653,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -668,6 +672,7 @@
            VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -706,6 +711,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(FeedServer::VT_AGE_MS, age_ms, 0);
   }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(FeedServer::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
   explicit FeedServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -732,7 +740,8 @@
     uint32_t slow_for_ms = 0,
     uint64_t started_at_ms = 0,
     uint64_t sequence = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool is_leaving = false) {
   FeedServerBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_started_at_ms(started_at_ms);
@@ -743,6 +752,7 @@
   builder_.add_address(address);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_is_leaving(is_leaving);
   builder_.add_phase(phase);
   return builder_.Finish();
 }
@@ -758,7 +768,8 @@
     uint32_t slow_for_ms = 0,
     uint64_t started_at_ms = 0,
     uint64_t sequence = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool is_leaving = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -774,7 +785,8 @@
       slow_for_ms,
       started_at_ms,
       sequence,
-      age_ms);
+      age_ms,
+      is_leaving);
 }
 
 struct FeedRenewal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -54,25 +54,40 @@
       continue;
     }
     const auto found = byId_.find(id);
-    if (found == byId_.end()) {
-      Add(row.announcement_, aNow);
-    } else if (found->second->Announcement().sequence_ !=
-               row.announcement_.sequence_) {
-      found->second->Update(row.announcement_, aNow);
+    const bool isNew = found == byId_.end();
+    const bool isChanged =
+      isNew ||
+      found->second->Announcement().sequence_ != row.announcement_.sequence_ ||
+      found->second->Announcement().isLeaving_ != row.announcement_.isLeaving_;
+    if (!isChanged) {
+      continue;
+    }
+    ServerAnnouncement announcement = row.announcement_;
+    announcement.warmupLeft_ = std::max(
+      milliseconds(0), duration_cast<milliseconds>(row.WarmupEndsAt() - aNow));
+    if (isNew) {
+      Add(announcement, aNow);
+    } else {
+      found->second->Update(announcement, aNow);
     }
   }
 }
 
 void BackendPoolSet::DistributeConnections(const RouteTable& aTable,
-                                           uint32_t aInstances)
+                                           uint32_t aInstances,
+                                           TimePoint aNow)
 {
   maxConnectionsByService_.clear();
+  coldRateByService_.clear();
   for (const RoutedService& service : aTable.Document().services_) {
     const double maxConnections =
       settings_.serverConnections_.connectionShare_ * service.maxConnections_ /
       std::max<uint32_t>(aInstances, 1);
     maxConnectionsByService_[service.name_] =
       std::max<uint32_t>(1, static_cast<uint32_t>(maxConnections));
+    if (service.warmupPerSecond_ > 0) {
+      coldRateByService_[service.name_] = service.warmupPerSecond_;
+    }
   }
   for (const auto& [service, pools] : byService_) {
     const auto found = maxConnectionsByService_.find(service);
@@ -80,10 +95,17 @@
       pool->SetMaxConnections(found == maxConnectionsByService_.end()
                                 ? kUnknownServiceMaxConnections
                                 : found->second);
+      pool->SetColdRate(ColdRateOf(service), aNow);
     }
   }
 }
 
+double BackendPoolSet::ColdRateOf(const ServiceName& aService) const
+{
+  const auto found = coldRateByService_.find(aService);
+  return found == coldRateByService_.end() ? 0 : found->second;
+}
+
 void BackendPoolSet::SetInstances(uint32_t aInstances, TimePoint aNow)
 {
   instances_ = aInstances;
@@ -106,7 +128,8 @@
   absl::InlinedVector<ReplicaCandidate, 12> states;
   absl::InlinedVector<const std::shared_ptr<ServerConnectionPool>*, 12> pools;
   for (const auto& pool : found->second) {
-    if (pool->AcceptsRequests() && pool->NextPermitAt(aNow) <= aLatestSendAt &&
+    if (pool->AcceptsRequests() && !pool->IsRefusing(aNow) &&
+        pool->NextPermitAt(aNow) <= aLatestSendAt &&
         std::find(aTried.begin(), aTried.end(), pool.get()) == aTried.end()) {
       states.push_back(pool->State(aNow));
       pools.push_back(&pool);
@@ -139,6 +162,28 @@
   return earliest;
 }
 
+std::optional<TimePoint> BackendPoolSet::RefusedUntil(
+  const ServiceName& aService,
+  TimePoint aNow) const
+{
+  std::optional<TimePoint> earliest;
+  const auto found = byService_.find(aService);
+  if (found == byService_.end()) {
+    return earliest;
+  }
+  for (const auto& pool : found->second) {
+    if (!pool->AcceptsRequests()) {
+      continue;
+    }
+    if (!pool->IsRefusing(aNow)) {
+      return std::nullopt;
+    }
+    earliest =
+      std::min(earliest.value_or(TimePoint::max()), pool->RefusedUntil());
+  }
+  return earliest;
+}
+
 bool BackendPoolSet::HasAvailableServer(const ServiceName& aService) const
 {
   const auto found = byService_.find(aService);
@@ -185,6 +230,7 @@
     settings_.serverConnections_,
     headerNames_,
     shared_,
+    settings_.coldServers_,
     aAnnouncement,
     *endpoint,
     settings_.zones_.DistanceTo(aAnnouncement.zone_),
@@ -195,6 +241,7 @@
                             ? kUnknownServiceMaxConnections
                             : maxConnections->second);
   pool->SetInstances(instances_, aNow);
+  pool->SetColdRate(ColdRateOf(aAnnouncement.service_), aNow);
   byService_[aAnnouncement.service_].push_back(pool);
   byId_[aAnnouncement.id_] = std::move(pool);
 }
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -40,11 +40,14 @@
   /// their address or service.
   void Update(const ServerDirectory& aDirectory, TimePoint aNow);
 
-  /// Sets the limits on this instance's connections to each server.
+  /// Sets the limits on this instance's connections to each server, and the
+  /// rates that cold servers tolerate.
   ///
   /// @param aInstances number of instances that share a server's connections,
   /// at least 1.
-  void DistributeConnections(const RouteTable& aTable, uint32_t aInstances);
+  void DistributeConnections(const RouteTable& aTable,
+                             uint32_t aInstances,
+                             TimePoint aNow);
 
   /// Sets the number of instances that share the servers' rate limits, at least
   /// 1.
@@ -72,6 +75,11 @@
   std::optional<TimePoint> EarliestSendAt(const ServiceName& aService,
                                           TimePoint aNow) const;
 
+  /// @return the earliest end of the times that the servers of the service have
+  /// stated, if each server that is in use accepts no requests at present.
+  std::optional<TimePoint> RefusedUntil(const ServiceName& aService,
+                                        TimePoint aNow) const;
+
   /// @return whether any server of the service accepts requests.
   bool HasAvailableServer(const ServiceName& aService) const;
 
@@ -83,6 +91,14 @@
     shared_.slowServers_.SetCallback(std::move(aCallback));
   }
 
+  /// Sets the function that receives the processes whose replies state that
+  /// they are leaving.
+  void OnServerLeaving(
+    std::function<void(const BackendId&, uint64_t aStartedAtMs)> aCallback)
+  {
+    shared_.onLeaving_ = std::move(aCallback);
+  }
+
   /// @return which requests are not sent as they crash backend servers.
   CrashMonitor& Crashes() { return shared_.crashes_; }
 
@@ -98,6 +114,8 @@
 
 private:
   void Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow);
+  /// @return the rate that cold servers of a service tolerate; 0 when any.
+  double ColdRateOf(const ServiceName& aService) const;
   void Remove(const std::shared_ptr<ServerConnectionPool>& aPool,
               TimePoint aNow);
 
@@ -113,6 +131,8 @@
   /// Pools of removed servers, kept until their last exchange has finished.
   std::vector<std::shared_ptr<ServerConnectionPool>> retired_;
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
+  /// Rates that cold servers tolerate, where the document states one.
+  std::unordered_map<ServiceName, double> coldRateByService_;
   uint32_t instances_ = 1;
 };
 
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -113,12 +113,14 @@
   ServerRemoved,
   /// The rate limits of the servers allowed no request in time.
   RateLimited,
+  /// The server has stated a time for which it accepts no requests.
+  Refusing,
 };
 
 template<>
 struct EnumTable<ExchangeFault>
 {
-  static constexpr std::array<EnumName<ExchangeFault>, 17> kRows{ {
+  static constexpr std::array<EnumName<ExchangeFault>, 18> kRows{ {
     { ExchangeFault::None, "none" },
     { ExchangeFault::Shed, "shed" },
     { ExchangeFault::WrongServer, "wrong_server" },
@@ -136,6 +138,7 @@
     { ExchangeFault::Abandoned, "abandoned" },
     { ExchangeFault::ServerRemoved, "retired" },
     { ExchangeFault::RateLimited, "rate_limited" },
+    { ExchangeFault::Refusing, "refusing" },
   } };
 };
 
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "policy/AnswerTiming.h"
 #include "policy/BusyServersBackoff.h"
+#include "policy/ColdServerLimit.h"
 #include "policy/CrashSuspects.h"
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
@@ -50,6 +51,8 @@
   ZoneMap zones_;
   ServerConnectionSettings serverConnections_;
   LatencyPredictorSettings rank_;
+  /// Bound of the requests to a server while it is cold.
+  ColdServerLimitSettings coldServers_;
   ExtraAttemptBudgetSettings extraBudget_;
   /// Quantile, 0 to 1, of the latency of a route's first attempts that gives
   /// the delay of a hedge.
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -156,7 +156,7 @@
                         TimePoint aNow)
 {
   table_ = std::move(aTable);
-  pools_.DistributeConnections(*table_, instances_);
+  pools_.DistributeConnections(*table_, instances_, aNow);
   ReleaseHeld(aNow);
 }
 
@@ -188,7 +188,7 @@
     budget.SetInstances(instances_);
   }
   if (table_ != nullptr) {
-    pools_.DistributeConnections(*table_, instances_);
+    pools_.DistributeConnections(*table_, instances_, aNow);
   }
 }
 
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -43,6 +43,13 @@
   /// Sets the function that receives the servers that this instance finds slow.
   /// Called before Start().
   void OnSlowServer(SlowServerReporter::Callback aCallback);
+  /// Sets the function that receives the processes whose replies state that
+  /// they are leaving. Called before Start().
+  void OnServerLeaving(
+    std::function<void(const BackendId&, uint64_t aStartedAtMs)> aCallback)
+  {
+    pools_.OnServerLeaving(std::move(aCallback));
+  }
   /// @param aInstances number of entry instances that share connections,
   /// budgets and rate limits.
   void SetInstances(uint32_t aInstances, TimePoint aNow);
--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -58,11 +58,20 @@
 {
   const auto shards = static_cast<uint32_t>(attempts_.size());
   const uint32_t required = RequiredShards(shards, target_.leastShare_);
-  std::vector<TimePoint> earliest;
+  struct ShardSend
+  {
+    TimePoint at_;
+    /// All servers of the shard refuse requests until then.
+    bool isRefused_;
+  };
+  std::vector<ShardSend> earliest;
   for (const ServiceAttempts& attempts : attempts_) {
-    if (const auto at =
-          context_.pools_.EarliestSendAt(attempts.service_, aNow)) {
-      earliest.push_back(*at);
+    if (const auto refusedUntil =
+          context_.pools_.RefusedUntil(attempts.service_, aNow)) {
+      earliest.push_back({ *refusedUntil, true });
+    } else if (const auto at =
+                 context_.pools_.EarliestSendAt(attempts.service_, aNow)) {
+      earliest.push_back({ *at, false });
     }
   }
   if (earliest.size() < required) {
@@ -71,14 +80,29 @@
         " shards have a backend server that accepts requests, too few for an "
         "answer; try again, and check the announcements",
       std::nullopt,
+      std::nullopt,
       aNow);
   }
-  std::sort(earliest.begin(), earliest.end());
-  const TimePoint enoughAt = earliest[required - 1];
-  if (enoughAt > aLatestSendAt) {
+  std::sort(earliest.begin(),
+            earliest.end(),
+            [](const ShardSend& aLeft, const ShardSend& aRight) {
+              return aLeft.isRefused_ != aRight.isRefused_
+                       ? aRight.isRefused_
+                       : aLeft.at_ < aRight.at_;
+            });
+  const ShardSend& enough = earliest[required - 1];
+  if (enough.isRefused_) {
+    return RefusalAnswer("the backend servers of too many shards refuse "
+                         "requests; come back after the time that is stated",
+                         std::nullopt,
+                         enough.at_,
+                         aNow);
+  }
+  if (enough.at_ > aLatestSendAt) {
     return RefusalAnswer("too many shards limit the rate of requests; come "
                          "back after the time that is stated",
-                         enoughAt,
+                         enough.at_,
+                         std::nullopt,
                          aNow);
   }
   return std::nullopt;
@@ -168,7 +192,9 @@
     Finish(FailureAnswer(std::to_string(unanswered_) +
                            " backend servers ended the connection without a "
                            "reply and none replied",
-                         false),
+                         false,
+                         std::nullopt,
+                         aNow),
            aNow);
   }
 }
@@ -268,7 +294,9 @@
       Finish(FailureAnswer(std::to_string(included_) + " of " +
                              std::to_string(parts_.size()) +
                              " shards answered, too few for an answer",
-                           aNow >= responseDeadline_),
+                           aNow >= responseDeadline_,
+                           std::nullopt,
+                           aNow),
              aNow);
       return;
   }
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -147,8 +147,11 @@
 {
   const auto choice = ChooseServer(aAttempts, aLatestSendAt, aNow);
   if (!choice) {
-    if (context_.pools_.EarliestSendAt(aAttempts.service_, aNow) >
-        aLatestSendAt) {
+    if (aAttempts.sendCount_ == 0 &&
+        context_.pools_.RefusedUntil(aAttempts.service_, aNow)) {
+      aAttempts.lastFault_ = ExchangeFault::Refusing;
+    } else if (context_.pools_.EarliestSendAt(aAttempts.service_, aNow) >
+               aLatestSendAt) {
       aAttempts.lastFault_ = ExchangeFault::RateLimited;
     }
     return false;
@@ -280,7 +283,8 @@
     aAttempts.lastFault_ == ExchangeFault::ConnectFailed ||
     aAttempts.lastFault_ == ExchangeFault::ConnectTimeout ||
     aAttempts.lastFault_ == ExchangeFault::QueueFull ||
-    aAttempts.lastFault_ == ExchangeFault::ServerRemoved;
+    aAttempts.lastFault_ == ExchangeFault::ServerRemoved ||
+    aAttempts.lastFault_ == ExchangeFault::Refusing;
   if (!isUncharged && !context_.budgetOf_(aAttempts.service_)
                          .TryTake(BudgetReserve(aIsRequired), aNow)) {
     return false;
@@ -325,7 +329,8 @@
   }
   aAttempts.sendAt_ = TimePoint::max();
   const auto reserved = std::exchange(aAttempts.reservedPool_, nullptr);
-  if (reserved != nullptr && reserved->AcceptsRequests()) {
+  if (reserved != nullptr && reserved->AcceptsRequests() &&
+      !reserved->IsRefusing(aNow)) {
     SendTo(reserved, aAttempts, aServiceIndex, aNow);
     return true;
   }
@@ -426,17 +431,16 @@
   return false;
 }
 
-ForwardAnswer RequestHandler::FailureAnswer(std::string_view aReason,
-                                            bool aIsTimedOut)
+ForwardAnswer RequestHandler::FailureAnswer(
+  std::string_view aReason,
+  bool aIsTimedOut,
+  std::optional<TimePoint> aRefusedUntil,
+  TimePoint aNow)
 {
   constexpr unsigned kBadGateway = 502;
-  constexpr unsigned kUnavailable = 503;
   constexpr unsigned kTimeout = 504;
   if (!MayHaveRun()) {
-    return MakeLocalAnswer(AnswerSource::NotRun,
-                           kUnavailable,
-                           aReason,
-                           context_.settings_.retryAfter_);
+    return RefusalAnswer(aReason, std::nullopt, aRefusedUntil, aNow);
   }
   return MakeLocalAnswer(
     AnswerSource::Unknown, aIsTimedOut ? kTimeout : kBadGateway, aReason);
@@ -445,20 +449,23 @@
 ForwardAnswer RequestHandler::RefusalAnswer(
   std::string_view aReason,
   std::optional<TimePoint> aEarliestSendAt,
+  std::optional<TimePoint> aRefusedUntil,
   TimePoint aNow) const
 {
   constexpr unsigned kUnavailable = 503;
   const ForwardSettings& settings = context_.settings_;
   const auto wait =
     std::chrono::ceil<milliseconds>(aEarliestSendAt.value_or(aNow) - aNow);
-  return MakeLocalAnswer(
-    AnswerSource::NotRun,
-    kUnavailable,
-    aReason,
-    std::clamp(
-      wait,
-      settings.retryAfter_,
-      std::max(settings.retryAfter_, settings.maxRateLimitRetryAfter_)));
+  const auto byRateLimit = std::clamp(
+    wait,
+    settings.retryAfter_,
+    std::max(settings.retryAfter_, settings.maxRateLimitRetryAfter_));
+  const auto byRefusal =
+    std::chrono::ceil<milliseconds>(aRefusedUntil.value_or(aNow) - aNow);
+  return MakeLocalAnswer(AnswerSource::NotRun,
+                         kUnavailable,
+                         aReason,
+                         std::max(byRateLimit, byRefusal));
 }
 
 void RequestHandler::Finish(ForwardAnswer aAnswer, TimePoint aNow)
--- a/src/forward/RequestHandler.h
+++ b/src/forward/RequestHandler.h
@@ -214,12 +214,21 @@
   bool MayHaveRun();
   /// @return the answer to a failed request: 503 when it was certainly not run,
   /// else 504 or 502.
-  ForwardAnswer FailureAnswer(std::string_view aReason, bool aIsTimedOut);
+  ///
+  /// @param aRefusedUntil when the servers accept requests again, if they
+  /// refuse for a stated time.
+  ForwardAnswer FailureAnswer(std::string_view aReason,
+                              bool aIsTimedOut,
+                              std::optional<TimePoint> aRefusedUntil,
+                              TimePoint aNow);
   /// @param aEarliestSendAt when the rate limits of the servers allow the
   /// request, if they are the cause.
+  /// @param aRefusedUntil when the servers accept requests again, if they
+  /// refuse for a stated time.
   /// @return the answer to a request for which nothing was sent.
   ForwardAnswer RefusalAnswer(std::string_view aReason,
                               std::optional<TimePoint> aEarliestSendAt,
+                              std::optional<TimePoint> aRefusedUntil,
                               TimePoint aNow) const;
 
   const ForwardRequest& Request() const { return *request_; }
--- a/src/forward/ServerConnection.cpp
+++ b/src/forward/ServerConnection.cpp
@@ -337,7 +337,13 @@
       ? StatedRateLimit{}
       : ParseRateLimit({ limit->value().data(), limit->value().size() });
   Exchange& exchange = *exchange_;
+  notices_ = ReadServerNotices(reply, headerNames_);
   ClassifyReply(exchange, reply);
+  if (exchange.outcome_ == ExchangeOutcome::Failed ||
+      exchange.fault_ == ExchangeFault::WrongServer) {
+    // The reply may be of another server, or belong to another request.
+    notices_ = {};
+  }
   const bool isMismatched = exchange.fault_ == ExchangeFault::RequestIdMismatch;
   if (isUnusable || isMismatched) {
     Error ignored;
--- a/src/forward/ServerConnection.h
+++ b/src/forward/ServerConnection.h
@@ -4,6 +4,7 @@
 #include "forward/Exchange.h"
 #include "forward/ForwardSettings.h"
 #include "forward/HeaderNames.h"
+#include "forward/ServerNotices.h"
 #include "policy/ReplyLimits.h"
 
 #include <boost/asio/io_context.hpp>
@@ -106,6 +107,8 @@
   const std::optional<ReportedServerLoad>& Load() const { return load_; }
   /// @return the rate limit in the latest reply.
   const StatedRateLimit& RateLimit() const { return rateLimit_; }
+  /// @return what the latest reply of the server itself states of its process.
+  const ServerNotices& Notices() const { return notices_; }
   /// @return whether the reply to a request with this id is distinguishable
   /// from a late second copy of the reply before.
   bool CanCarry(const RequestId& aRequest) const
@@ -159,6 +162,7 @@
   milliseconds idleLimit_;
   std::optional<ReportedServerLoad> load_;
   StatedRateLimit rateLimit_;
+  ServerNotices notices_;
   std::shared_ptr<Exchange> exchange_;
   RequestId lastRequestId_;
   uint32_t requestsSent_ = 0;
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -24,6 +24,7 @@
 /// Time in which requests that wait for a connection may still be sent to a
 /// server that has begun to drain; then they are sent to other servers.
 constexpr milliseconds kMaxQueueTimeWhileDraining{ 300 };
+constexpr unsigned kFirstServerError = 500;
 /// Interval of the log lines about one server that states a rate limit.
 constexpr seconds kRateLimitLogInterval{ 10 };
 
@@ -72,6 +73,12 @@
   , permitWaits_(
       aMetrics.Counter("foxtail_forward_rate_limit_waits_total",
                        "Requests that waited for a server's rate limit"))
+  , leavingServers_(
+      aMetrics.Counter("foxtail_forward_leaving_servers_total",
+                       "Backend servers whose reply stated that they leave"))
+  , refusals_(aMetrics.Counter(
+      "foxtail_forward_server_refusals_total",
+      "Replies that state a time for which the server accepts no requests"))
 {
   for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     sent_[static_cast<size_t>(row.value_)] =
@@ -86,6 +93,7 @@
   const ServerConnectionSettings& aSettings,
   const HeaderNames& aHeaderNames,
   ServerConnectionPoolContext& aShared,
+  const ColdServerLimitSettings& aColdServers,
   const ServerAnnouncement& aAnnouncement,
   boost::asio::ip::tcp::endpoint aEndpoint,
   ZoneDistance aDistance,
@@ -97,6 +105,7 @@
   , endpoint_(std::move(aEndpoint))
   , distance_(aDistance)
   , roundTrip_(InitialRoundTrip(aDistance))
+  , coldLimit_(aColdServers)
 {
   Update(aAnnouncement, aNow);
 }
@@ -119,7 +128,32 @@
     drainingSince_ = aNow;
   }
   announcement_ = aAnnouncement;
-  warmupUntil_ = aNow + announcement_.warmupLeft_;
+  isLeaving_ = isLeaving_ || announcement_.isLeaving_;
+  announcedColdUntil_ = aNow + announcement_.warmupLeft_;
+  UpdateColdUntil(aNow);
+}
+
+void ServerConnectionPool::UpdateColdUntil(TimePoint aNow)
+{
+  const TimePoint until = std::max(announcedColdUntil_, statedColdUntil_);
+  coldLimit_.SetColdUntil(until, shared_.random_.NextDouble(), aNow);
+  const bool isCold = coldLimit_.IsCold(aNow);
+  if (isCold && !wasCold_) {
+    LogLine(LogLevel::Info, "server_cold")
+      .Add("server", announcement_.id_)
+      .Add("service", announcement_.service_)
+      .Add("for_ms", ToMilliseconds(until - aNow))
+      .Add("limited", coldLimit_.IsLimiting(aNow));
+  }
+  wasCold_ = isCold;
+}
+
+void ServerConnectionPool::RecordWarmup(milliseconds aLeft, TimePoint aNow)
+{
+  // A reply is newer than the announcements received so far.
+  statedColdUntil_ = aNow + aLeft;
+  announcedColdUntil_ = std::min(announcedColdUntil_, statedColdUntil_);
+  UpdateColdUntil(aNow);
 }
 
 void ServerConnectionPool::Send(std::shared_ptr<Exchange> aExchange,
@@ -141,15 +175,19 @@
 
 void ServerConnectionPool::TakePermit(TimePoint aNow)
 {
-  if (rateShare_.NextPermitAt(aNow) > aNow) {
+  if (NextPermitAt(aNow) > aNow) {
     shared_.metrics_.permitWaits_.Increment();
   }
+  const TimePoint sendAt = NextPermitAt(aNow);
+  refusal_.OnSend(sendAt);
   rateShare_.TakePermit(aNow);
+  coldLimit_.TakePermit(aNow);
 }
 
 void ServerConnectionPool::Preconnect(TimePoint aNow)
 {
-  if (NeedsConnect() && connections_.size() < maxConnections_ && !isRetired_) {
+  if (NeedsConnect() && connections_.size() < maxConnections_ &&
+      AcceptsRequests()) {
     OpenConnection(aNow);
   }
 }
@@ -174,9 +212,7 @@
 void ServerConnectionPool::Retire(TimePoint aNow)
 {
   isRetired_ = true;
-  while (!waiting_.empty()) {
-    FailOneWaiting(ExchangeFault::ServerRemoved, aNow);
-  }
+  FailAllWaiting(ExchangeFault::ServerRemoved, aNow);
   for (const auto& connection : std::exchange(idleConnections_, {})) {
     connection->CloseWithoutNotice();
     RemoveConnection(*connection);
@@ -188,9 +224,7 @@
   CheckForCrash(aNow);
   if (announcement_.phase_ != ServerPhase::Ready &&
       aNow - drainingSince_ > kMaxQueueTimeWhileDraining) {
-    while (!waiting_.empty()) {
-      FailOneWaiting(ExchangeFault::ServerRemoved, aNow);
-    }
+    FailAllWaiting(ExchangeFault::ServerRemoved, aNow);
   }
   const auto connections = connections_;
   for (const auto& connection : connections) {
@@ -237,8 +271,8 @@
   }
   state.failureRate_ =
     Decayed(failureRate_, 0, aNow - failureRateAt_, kFailureHalfLife);
-  state.permitWait_ = rateShare_.NextPermitAt(aNow) - aNow;
-  state.isWarmingUp_ = aNow < warmupUntil_;
+  state.permitWait_ = NextPermitAt(aNow) - aNow;
+  state.isWarmingUp_ = coldLimit_.IsCold(aNow);
   state.isOtherRegion_ = distance_ == ZoneDistance::Far;
   state.isRecentlyUnreachable_ = aNow < unreachableUntil_;
   state.needsConnect_ = NeedsConnect();
@@ -316,6 +350,73 @@
   });
 }
 
+void ServerConnectionPool::FailAllWaiting(ExchangeFault aFault, TimePoint aNow)
+{
+  while (!waiting_.empty()) {
+    FailOneWaiting(aFault, aNow);
+  }
+}
+
+void ServerConnectionPool::RecordNotices(const ServerNotices& aNotices,
+                                         const Exchange& aExchange,
+                                         TimePoint aNow)
+{
+  if (aNotices.isLeaving_ && !isLeaving_) {
+    RecordLeaving(aExchange, aNow);
+  }
+  if (aNotices.warmupLeft_) {
+    RecordWarmup(*aNotices.warmupLeft_, aNow);
+  }
+  if (aNotices.refusesFor_) {
+    RecordRefusal(*aNotices.refusesFor_, aExchange, aNow);
+    return;
+  }
+  const bool isAccepted = aExchange.outcome_ == ExchangeOutcome::Answered &&
+                          aExchange.reply_.status_ < kFirstServerError;
+  if (isAccepted && refusal_.OnAccepted(aExchange.sentAt_)) {
+    LogLine(LogLevel::Info, "server_refusal_ended")
+      .Add("server", announcement_.id_)
+      .Add("service", announcement_.service_)
+      .Add("request", aExchange.request_->id_);
+  }
+}
+
+void ServerConnectionPool::RecordLeaving(const Exchange& aExchange,
+                                         TimePoint aNow)
+{
+  isLeaving_ = true;
+  shared_.metrics_.leavingServers_.Increment();
+  LogLine(LogLevel::Info, "server_leaving")
+    .Add("server", announcement_.id_)
+    .Add("service", announcement_.service_)
+    .Add("started_at_ms", announcement_.startedAtMs_)
+    .Add("request", aExchange.request_->id_)
+    .Add("sent_elsewhere", waiting_.size());
+  FailAllWaiting(ExchangeFault::ServerRemoved, aNow);
+  if (shared_.onLeaving_) {
+    shared_.onLeaving_(announcement_.id_, announcement_.startedAtMs_);
+  }
+}
+
+void ServerConnectionPool::RecordRefusal(Duration aFor,
+                                         const Exchange& aExchange,
+                                         TimePoint aNow)
+{
+  shared_.metrics_.refusals_.Increment();
+  const size_t waiting = waiting_.size();
+  if (refusal_.OnRefused(aFor, aNow)) {
+    LogLine(LogLevel::Info, "server_refuses")
+      .Add("server", announcement_.id_)
+      .Add("service", announcement_.service_)
+      .Add("request", aExchange.request_->id_)
+      .Add("for_ms", ToMilliseconds(aFor))
+      .Add("sent_elsewhere", waiting);
+  }
+  if (refusal_.IsRefusing(aNow)) {
+    FailAllWaiting(ExchangeFault::Refusing, aNow);
+  }
+}
+
 void ServerConnectionPool::OnConnectionOpen(ServerConnection& aConnection,
                                             TimePoint aNow)
 {
@@ -353,6 +454,10 @@
     loadReceivedAt_ = aNow;
     slowness_.OnReported(load_->slowness_, aNow);
   }
+  if (aExchange->outcome_ == ExchangeOutcome::Answered ||
+      aExchange->outcome_ == ExchangeOutcome::Refused) {
+    RecordNotices(aConnection.Notices(), *aExchange, aNow);
+  }
   RecordRateLimit(aConnection.RateLimit(), *aExchange, aNow);
   RecordOutcome(*aExchange, aNow);
   if (aConnection.State() == ServerConnectionState::Closed) {
@@ -432,7 +537,7 @@
                              aExchange.fault_ == ExchangeFault::WrongServer ||
                              aExchange.fault_ == ExchangeFault::Shed ||
                              (aExchange.outcome_ == ExchangeOutcome::Answered &&
-                              aExchange.reply_.status_ >= 500);
+                              aExchange.reply_.status_ >= kFirstServerError);
   failureRate_ =
     Decayed(failureRate_, 0, aNow - failureRateAt_, kFailureHalfLife) *
       (1 - kFailureWeight) +
@@ -443,7 +548,10 @@
     // creates another pool; until then this server is avoided.
     unreachableUntil_ = aNow + kMaxUnreachableBackoff;
   }
+  // An error is often returned without any work, so its latency would make a
+  // failing server look fast.
   if (aExchange.outcome_ == ExchangeOutcome::Answered &&
+      aExchange.reply_.status_ < kFirstServerError &&
       aExchange.expectedServerTime_ > Duration::zero() &&
       !aExchange.isAbandoned_) {
     RecordLatency(aExchange, aNow);
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -4,15 +4,18 @@
 #include "core/RandomSource.h"
 #include "forward/CrashMonitor.h"
 #include "forward/ServerConnection.h"
+#include "policy/ColdServerLimit.h"
 #include "policy/CrashDetector.h"
 #include "policy/LatencyPredictor.h"
 #include "policy/RateLimitShare.h"
 #include "policy/ServerDirectory.h"
+#include "policy/ServerRefusal.h"
 #include "policy/SlowServerReporter.h"
 #include "policy/SlownessEstimator.h"
 #include "policy/ZoneMap.h"
 
 #include <deque>
+#include <functional>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <set>
@@ -35,6 +38,10 @@
   prometheus::Counter& sentToRateLimited_;
   /// Requests that waited for a permit.
   prometheus::Counter& permitWaits_;
+  /// Processes whose reply stated that they are leaving.
+  prometheus::Counter& leavingServers_;
+  /// Refusals that state a time for which the server accepts no requests.
+  prometheus::Counter& refusals_;
 };
 
 /// State that all pools of an instance share.
@@ -45,6 +52,9 @@
   SlowServerReporter slowServers_;
   CrashMonitor crashes_;
   RandomSource random_;
+  /// Receives each process whose reply to this instance states that it is
+  /// leaving.
+  std::function<void(const BackendId&, uint64_t aStartedAtMs)> onLeaving_{};
 };
 
 /// This instance's connections to one backend server, and the statistics that
@@ -59,6 +69,7 @@
                        const ServerConnectionSettings& aSettings,
                        const HeaderNames& aHeaderNames,
                        ServerConnectionPoolContext& aShared,
+                       const ColdServerLimitSettings& aColdServers,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ZoneDistance aDistance,
@@ -76,19 +87,31 @@
     maxConnections_ = aMaxConnections;
   }
 
-  /// @param aInstances instances that share the server's rate limit, at least
-  /// 1.
+  /// @param aInstances instances that share the server's rate limit and its
+  /// pace while it is cold, at least 1.
   void SetInstances(uint32_t aInstances, TimePoint aNow)
   {
     rateShare_.SetInstances(aInstances, aNow);
+    coldLimit_.SetInstances(aInstances, aNow);
+  }
+  /// @param aPerSecond requests per second that the server tolerates from all
+  /// instances while it is cold; 0 for no limit.
+  void SetColdRate(double aPerSecond, TimePoint aNow)
+  {
+    coldLimit_.SetRate(aPerSecond, aNow);
   }
 
   /// @return the earliest time at which a request may be sent under the
-  /// server's rate limit.
+  /// server's rate limit, its pace while it is cold, and its refusals.
   TimePoint NextPermitAt(TimePoint aNow) const
   {
-    return rateShare_.NextPermitAt(aNow);
+    return refusal_.NextSendAt(
+      std::max(rateShare_.NextPermitAt(aNow), coldLimit_.NextPermitAt(aNow)));
   }
+  /// @return whether the time for which the server accepts no requests lasts.
+  bool IsRefusing(TimePoint aNow) const { return refusal_.IsRefusing(aNow); }
+  /// @return the end of that time.
+  TimePoint RefusedUntil() const { return refusal_.Until(); }
   /// Counts a request towards the server's rate limit. Called once before each
   /// Send(), at NextPermitAt() or earlier to reserve it.
   void TakePermit(TimePoint aNow);
@@ -127,7 +150,8 @@
   ReplicaCandidate State(TimePoint aNow) const;
   bool AcceptsRequests() const
   {
-    return !isRetired_ && announcement_.phase_ == ServerPhase::Ready;
+    return !isRetired_ && !isLeaving_ &&
+           announcement_.phase_ == ServerPhase::Ready;
   }
   const ServerAnnouncement& Announcement() const { return announcement_; }
 
@@ -150,6 +174,16 @@
   void OpenConnection(TimePoint aNow);
   void RemoveConnection(const ServerConnection& aConnection);
   void FailOneWaiting(ExchangeFault aFault, TimePoint aNow);
+  void FailAllWaiting(ExchangeFault aFault, TimePoint aNow);
+  /// Applies what a reply of the server itself states of its process.
+  void RecordNotices(const ServerNotices& aNotices,
+                     const Exchange& aExchange,
+                     TimePoint aNow);
+  void RecordLeaving(const Exchange& aExchange, TimePoint aNow);
+  void RecordWarmup(milliseconds aLeft, TimePoint aNow);
+  /// Applies the later end of the announced and the stated warm-up.
+  void UpdateColdUntil(TimePoint aNow);
+  void RecordRefusal(Duration aFor, const Exchange& aExchange, TimePoint aNow);
   void RecordOutcome(const Exchange& aExchange, TimePoint aNow);
   void RecordLatency(const Exchange& aExchange, TimePoint aNow);
   void RecordConnectFailure(TimePoint aNow);
@@ -175,6 +209,9 @@
   const ZoneDistance distance_;
   uint32_t maxConnections_ = 1;
   bool isRetired_ = false;
+  /// Whether a reply has stated that the process is leaving; never reset, as
+  /// another process has another pool.
+  bool isLeaving_ = false;
 
   std::vector<std::shared_ptr<ServerConnection>> connections_;
   /// Most recently used last.
@@ -193,13 +230,19 @@
   bool wantsCrashCheck_ = false;
   double failureRate_ = 0;
   TimePoint failureRateAt_{};
-  TimePoint warmupUntil_{};
+  /// Ends of the warm-up by the latest announcement and by the latest reply
+  /// that states it.
+  TimePoint announcedColdUntil_{};
+  TimePoint statedColdUntil_{};
+  bool wasCold_ = false;
   TimePoint drainingSince_{};
   TimePoint unreachableUntil_{};
   milliseconds unreachableBackoff_{ 0 };
   std::optional<ReportedServerLoad> load_;
   TimePoint loadReceivedAt_{};
+  ServerRefusal refusal_;
   RateLimitShare rateShare_;
+  ColdServerLimit coldLimit_;
   /// Requests per second that the server accepts from all instances together.
   std::optional<double> rateLimit_;
   /// When a reply last stated a limit.
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -43,9 +43,14 @@
   if (!TrySend(attempts_, 0, LatestSendAt(aNow), aNow)) {
     const auto earliest =
       context_.pools_.EarliestSendAt(attempts_.service_, aNow);
+    const auto refusedUntil =
+      context_.pools_.RefusedUntil(attempts_.service_, aNow);
     Finish(
       RefusalAnswer(
-        earliest
+        refusedUntil
+          ? "the backend servers of the service " + attempts_.service_.Value() +
+              " refuse requests; come back after the time that is stated"
+        : earliest
           ? "the backend servers of the service " + attempts_.service_.Value() +
               " limit the rate of requests; come back after the "
               "time that is stated"
@@ -53,6 +58,7 @@
               " accepts requests; try again, and check its "
               "announcements",
         earliest,
+        refusedUntil,
         aNow),
       aNow);
     return;
@@ -73,11 +79,13 @@
     if (serverFailure_) {
       Finish(ForwardServerReply(*std::move(serverFailure_)), aNow);
     } else {
-      Finish(FailureAnswer("no backend server of the service " +
-                             attempts_.service_.Value() +
-                             " returned a usable reply",
-                           false),
-             aNow);
+      Finish(
+        FailureAnswer("no backend server of the service " +
+                        attempts_.service_.Value() + " returned a usable reply",
+                      false,
+                      context_.pools_.RefusedUntil(attempts_.service_, aNow),
+                      aNow),
+        aNow);
     }
   }
   if (!IsDone()) {
@@ -102,11 +110,13 @@
 void SingleRequestHandler::HandleTimer(TimePoint aNow)
 {
   if (aNow >= responseDeadline_) {
-    Finish(
-      serverFailure_
-        ? ForwardServerReply(*std::move(serverFailure_))
-        : FailureAnswer("no reply was received within the time limit", true),
-      aNow);
+    Finish(serverFailure_
+             ? ForwardServerReply(*std::move(serverFailure_))
+             : FailureAnswer("no reply was received within the time limit",
+                             true,
+                             std::nullopt,
+                             aNow),
+           aNow);
     return;
   }
   PreconnectIfDue(attempts_, aNow);
@@ -114,7 +124,9 @@
   if (!SendIfDue(attempts_, 0, aNow)) {
     Finish(FailureAnswer("no backend server of the service " +
                            attempts_.service_.Value() + " accepts requests",
-                         false),
+                         false,
+                         context_.pools_.RefusedUntil(attempts_.service_, aNow),
+                         aNow),
            aNow);
   }
 }
--- a/src/policy/ServerDirectory.cpp
+++ b/src/policy/ServerDirectory.cpp
@@ -14,6 +14,9 @@
 constexpr uint32_t kMaxSlots = 65536;
 constexpr uint64_t kMaxSequence = std::numeric_limits<int64_t>::max();
 constexpr std::chrono::hours kMaxWarmup{ 1 };
+/// An end of the warm-up that differs by less is the same one: announcements
+/// take up to this long to arrive.
+constexpr milliseconds kWarmupTolerance{ 500 };
 /// Clocks of machines differ, and may jump by seconds.
 constexpr std::chrono::hours kMaxClockDifference{ 1 };
 
@@ -34,17 +37,30 @@
     aAnnouncement.address_ + ' ' + aAnnouncement.zone_.Value() + ' ' +
     std::to_string(aAnnouncement.slots_) + ' ' +
     std::string(NameOf(aAnnouncement.phase_)) + ' ' +
-    std::to_string(aAnnouncement.startedAtMs_);
+    std::to_string(aAnnouncement.startedAtMs_) +
+    (aAnnouncement.isLeaving_ ? " leaving" : "");
   return XXH3_64bits(text.data(), text.size());
 }
 
+/// @return whether an announcement changes when a server's warm-up ends: the
+/// server has turned cold, stays cold for longer, or is warm earlier.
+bool IsWarmupChanged(const ServerRecord& aStored,
+                     const ServerAnnouncement& aUpdate,
+                     TimePoint aReceivedAt)
+{
+  const TimePoint before = std::max(aStored.WarmupEndsAt(), aReceivedAt);
+  const TimePoint after = aReceivedAt + aUpdate.warmupLeft_;
+  return after > before + kWarmupTolerance || before > after + kWarmupTolerance;
+}
+
 bool IsSameContent(const ServerAnnouncement& aLeft,
                    const ServerAnnouncement& aRight)
 {
   return aLeft.phase_ == aRight.phase_ && aLeft.address_ == aRight.address_ &&
          aLeft.service_ == aRight.service_ && aLeft.slots_ == aRight.slots_ &&
          aLeft.zone_ == aRight.zone_ &&
-         aLeft.startedAtMs_ == aRight.startedAtMs_;
+         aLeft.startedAtMs_ == aRight.startedAtMs_ &&
+         aLeft.isLeaving_ == aRight.isLeaving_;
 }
 
 } // namespace
@@ -102,11 +118,22 @@
 DirectoryUpdateResult ServerDirectory::Apply(
   const ServerAnnouncement& aAnnouncement,
   TimePoint aReceivedAt)
+{
+  return ApplyMarked(WithLeavingMark(aAnnouncement), aReceivedAt);
+}
+
+DirectoryUpdateResult ServerDirectory::ApplyMarked(
+  const ServerAnnouncement& aAnnouncement,
+  TimePoint aReceivedAt)
 {
   const auto found = rows_.find(aAnnouncement.id_);
   if (found != rows_.end() &&
       IsOlder(aAnnouncement, found->second.announcement_)) {
-    return DirectoryUpdateResult::Stale;
+    // The mark may come from an instance that has an older announcement.
+    return aAnnouncement.isLeaving_ ? MarkLeaving(aAnnouncement.id_,
+                                                  aAnnouncement.startedAtMs_,
+                                                  aReceivedAt)
+                                    : DirectoryUpdateResult::Stale;
   }
   if (aAnnouncement.phase_ == ServerPhase::Gone && found != rows_.end() &&
       aAnnouncement.startedAtMs_ == found->second.announcement_.startedAtMs_) {
@@ -118,17 +145,77 @@
   }
   const bool isChanged =
     found == rows_.end() ||
-    !IsSameContent(aAnnouncement, found->second.announcement_);
+    !IsSameContent(aAnnouncement, found->second.announcement_) ||
+    IsWarmupChanged(found->second, aAnnouncement, aReceivedAt);
   if (isChanged && aAnnouncement.phase_ != ServerPhase::Gone) {
     ReleaseAddress(aAnnouncement);
   }
   ServerRecord& row = rows_[aAnnouncement.id_];
   ReplaceContent(row, aAnnouncement);
   RecordUpdate(row, isChanged, aReceivedAt);
+  SetReceivedAt(row, aReceivedAt + aAnnouncement.warmupLeft_, aReceivedAt);
   return isChanged ? DirectoryUpdateResult::Changed
                    : DirectoryUpdateResult::Renewed;
 }
 
+DirectoryUpdateResult ServerDirectory::MarkLeaving(const BackendId& aId,
+                                                   uint64_t aStartedAtMs,
+                                                   TimePoint aNow)
+{
+  const auto found = rows_.find(aId);
+  if (found == rows_.end() ||
+      found->second.announcement_.startedAtMs_ < aStartedAtMs) {
+    KeepLeavingMark(aId, aStartedAtMs, aNow);
+    return DirectoryUpdateResult::Stale;
+  }
+  ServerRecord& row = found->second;
+  if (row.announcement_.startedAtMs_ != aStartedAtMs ||
+      row.announcement_.phase_ == ServerPhase::Gone ||
+      row.announcement_.isLeaving_) {
+    return DirectoryUpdateResult::Stale;
+  }
+  ServerAnnouncement marked = row.announcement_;
+  // The phase and its place in the replicated log stay if it drains already.
+  const bool isCommitted = row.isDepartureCommitted_;
+  marked.isLeaving_ = true;
+  marked.phase_ = ServerPhase::Draining;
+  ReplaceContent(row, marked);
+  RecordUpdate(row, true, row.lastAnnouncementAt_);
+  row.isDepartureCommitted_ = isCommitted;
+  return DirectoryUpdateResult::Changed;
+}
+
+ServerAnnouncement ServerDirectory::WithLeavingMark(
+  ServerAnnouncement aAnnouncement) const
+{
+  const auto row = rows_.find(aAnnouncement.id_);
+  const auto mark = leavingMarks_.find(aAnnouncement.id_);
+  const bool isMarked =
+    (row != rows_.end() && row->second.announcement_.isLeaving_ &&
+     row->second.announcement_.startedAtMs_ == aAnnouncement.startedAtMs_) ||
+    (mark != leavingMarks_.end() &&
+     mark->second.startedAtMs_ == aAnnouncement.startedAtMs_);
+  aAnnouncement.isLeaving_ = aAnnouncement.isLeaving_ || isMarked;
+  if (aAnnouncement.isLeaving_ && aAnnouncement.phase_ == ServerPhase::Ready) {
+    aAnnouncement.phase_ = ServerPhase::Draining;
+  }
+  return aAnnouncement;
+}
+
+void ServerDirectory::KeepLeavingMark(const BackendId& aId,
+                                      uint64_t aStartedAtMs,
+                                      TimePoint aNow)
+{
+  const auto found = leavingMarks_.find(aId);
+  if (found != leavingMarks_.end()) {
+    if (aStartedAtMs >= found->second.startedAtMs_) {
+      found->second = { aStartedAtMs, aNow };
+    }
+  } else if (leavingMarks_.size() < kMaxLeavingMarks) {
+    leavingMarks_[aId] = { aStartedAtMs, aNow };
+  }
+}
+
 DirectoryUpdateResult ServerDirectory::Deregister(const BackendId& aId,
                                                   uint64_t aStartedAtMs,
                                                   TimePoint aNow)
@@ -185,15 +272,23 @@
   }
   ServerAnnouncement& stored = found->second.announcement_;
   stored.sequence_ = std::max(stored.sequence_, aSequence);
+  const TimePoint warmupEndsAt = found->second.WarmupEndsAt();
   RecordUpdate(found->second, false, aReceivedAt);
+  SetReceivedAt(found->second, warmupEndsAt, aReceivedAt);
 }
 
 bool ServerDirectory::RemoveExpired(TimePoint aNow)
 {
+  std::erase_if(leavingMarks_, [&](const auto& aRow) {
+    return aNow - aRow.second.markedAt_ > kKeepLeavingMark;
+  });
   const size_t removed = std::erase_if(rows_, [&](const auto& aRow) {
     const bool isExpired =
       aNow - aRow.second.lastAnnouncementAt_ > kExpireAfter;
     digest_ ^= isExpired ? ContentHash(aRow.second.announcement_) : 0;
+    if (isExpired && aRow.second.announcement_.isLeaving_) {
+      KeepLeavingMark(aRow.first, aRow.second.announcement_.startedAtMs_, aNow);
+    }
     return isExpired;
   });
   if (removed == 0) {
@@ -255,6 +350,16 @@
   }
 }
 
+void ServerDirectory::SetReceivedAt(ServerRecord& aRow,
+                                    TimePoint aWarmupEndsAt,
+                                    TimePoint aReceivedAt)
+{
+  aRow.lastAnnouncementAt_ = std::max(aRow.lastAnnouncementAt_, aReceivedAt);
+  aRow.announcement_.warmupLeft_ = std::max(
+    milliseconds(0),
+    duration_cast<milliseconds>(aWarmupEndsAt - aRow.lastAnnouncementAt_));
+}
+
 void ServerDirectory::ReplaceContent(ServerRecord& aRow,
                                      const ServerAnnouncement& aAnnouncement)
 {
--- a/src/policy/ServerDirectory.h
+++ b/src/policy/ServerDirectory.h
@@ -43,12 +43,17 @@
   /// Requests that the server runs at once.
   uint32_t slots_ = 1;
   ServerPhase phase_ = ServerPhase::Ready;
-  /// Remaining time of its warm-up, during which it is slower.
+  /// Remaining time of its warm-up, during which it is slower. In a directory,
+  /// the time that was left at ServerRecord::lastAnnouncementAt_.
   milliseconds warmupLeft_{ 0 };
   /// Start of the process, milliseconds since the Unix epoch.
   uint64_t startedAtMs_ = 0;
   /// Increases with each announcement of one process.
   uint64_t sequence_ = 0;
+  /// Whether a reply of the process has stated that it is leaving. Set by this
+  /// system, not by the server; holds for the life of the process, and the
+  /// phase is then never Ready.
+  bool isLeaving_ = false;
 };
 
 /// Checks what a server announces of itself. An announcement may come from
@@ -68,7 +73,8 @@
 
 enum class DirectoryUpdateResult
 {
-  /// A new server, or one with another phase, address or incarnation.
+  /// A new server, or one with another phase, address, incarnation or end of
+  /// its warm-up.
   Changed,
   /// No change; the last announcement time was updated.
   Renewed,
@@ -95,6 +101,12 @@
   uint64_t changedAtRevision_ = 0;
   /// Whether the present phase, Draining or Gone, is in the replicated log.
   bool isDepartureCommitted_ = false;
+
+  /// @return when the warm-up ends; in the past when it has.
+  TimePoint WarmupEndsAt() const
+  {
+    return lastAnnouncementAt_ + announcement_.warmupLeft_;
+  }
 };
 
 /// Backend servers by their announcements, ordered by incarnation and sequence
@@ -108,6 +120,10 @@
   /// How long a record is kept without an announcement. Far above the longest
   /// network partition that can delay an announcement.
   static constexpr seconds kExpireAfter{ 120 };
+  /// How long, and for how many processes, the mark of a leaving process
+  /// without a record is kept. The number bounds the memory.
+  static constexpr seconds kKeepLeavingMark{ 3600 };
+  static constexpr size_t kMaxLeavingMarks = 4096;
 
   /// @param aReceivedAt when the first instance received the announcement.
   DirectoryUpdateResult Apply(const ServerAnnouncement& aAnnouncement,
@@ -127,6 +143,15 @@
   DirectoryUpdateResult ApplyCommitted(const ServerAnnouncement& aDeparture,
                                        TimePoint aNow);
 
+  /// Marks a process whose reply states that it is leaving. It is Draining from
+  /// now on, whatever it announces. The mark of a process without a record is
+  /// kept for its announcement.
+  ///
+  /// @return Stale when the process has ended or is marked already.
+  DirectoryUpdateResult MarkLeaving(const BackendId& aId,
+                                    uint64_t aStartedAtMs,
+                                    TimePoint aNow);
+
   /// Updates the last announcement time of a server whose announcement with
   /// this sequence another instance received.
   void Renew(const BackendId& aId, uint64_t aSequence, TimePoint aReceivedAt);
@@ -151,15 +176,34 @@
   uint64_t Digest() const { return digest_; }
 
 private:
+  struct LeavingMark
+  {
+    uint64_t startedAtMs_ = 0;
+    TimePoint markedAt_{};
+  };
+
+  DirectoryUpdateResult ApplyMarked(const ServerAnnouncement& aAnnouncement,
+                                    TimePoint aReceivedAt);
+  /// @return the announcement with the mark that its process has.
+  ServerAnnouncement WithLeavingMark(ServerAnnouncement aAnnouncement) const;
+  void KeepLeavingMark(const BackendId& aId,
+                       uint64_t aStartedAtMs,
+                       TimePoint aNow);
   bool IsAddressTaken(const ServerAnnouncement& aAnnouncement) const;
   void ReleaseAddress(const ServerAnnouncement& aAnnouncement);
   void RecordUpdate(ServerRecord& aRow, bool aIsChanged, TimePoint aReceivedAt);
+  /// Sets the last announcement time and keeps the end of the warm-up.
+  static void SetReceivedAt(ServerRecord& aRow,
+                            TimePoint aWarmupEndsAt,
+                            TimePoint aReceivedAt);
   /// Replaces a record's announcement and updates the digest.
   void ReplaceContent(ServerRecord& aRow,
                       const ServerAnnouncement& aAnnouncement);
 
   std::unordered_map<BackendId, ServerRecord> rows_;
   std::unordered_map<std::string, BackendId> byAddress_;
+  /// Leaving processes that have no record.
+  std::unordered_map<BackendId, LeavingMark> leavingMarks_;
   uint64_t revision_ = 0;
   uint64_t changeRevision_ = 0;
   /// Exclusive or of the hashes of all records, so that the cost of a change
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -59,10 +59,11 @@
   Source(const char* aName,
          const char* aZone,
          TimePoint aStartedAt = Now() - seconds(60),
-         uint16_t aPort = 0)
+         uint16_t aPort = 0,
+         uint64_t aSeed = 77)
     : pool_(1)
     , frames_(FrameSettings(aName, aPort), pool_)
-    , feed_(ZoneName(aZone), frames_, metrics_, 77, aStartedAt)
+    , feed_(ZoneName(aZone), frames_, metrics_, aSeed, aStartedAt)
   {
     frames_.Start().IgnoreError();
     pool_.Start();
@@ -558,6 +559,77 @@
   CHECK(last.RunOnWorker([&] { return last.slowServers_.size(); }) == 1);
 }
 
+// Guards against a leaving server that other instances go on using, as its
+// announcements say that it is ready.
+TEST_CASE("feed: a leaving server drains at all control and entry instances")
+{
+  Source first("control-1", "zone-a");
+  Source second("control-2", "zone-b");
+  PeerClient toSecond(first, second.Endpoint());
+  PeerClient toFirst(second, first.Endpoint());
+  first.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  second.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  second.feed_.OnAnnouncement(MakeAnnouncement("i-1", 1), Now());
+  Client reporter({ first.Endpoint() }, "entry-1");
+  Client other({ second.Endpoint() }, "entry-2");
+  const auto phaseAt = [](Client& aClient) {
+    const ServerRecord* record =
+      aClient.feed_.Directory().Find(BackendId("i-1"));
+    return record == nullptr ? ServerPhase::Gone : record->announcement_.phase_;
+  };
+  REQUIRE(
+    reporter.WaitFor([&] { return phaseAt(reporter) == ServerPhase::Ready; }));
+  REQUIRE(other.WaitFor([&] { return phaseAt(other) == ServerPhase::Ready; }));
+  const TimePoint reportedAt = Now();
+  reporter.RunOnWorker([&] {
+    reporter.feed_.ReportLeavingServer({ BackendId("i-1"), 1 }, Now());
+    return true;
+  });
+  // It announces itself to the other control instance all the while.
+  uint64_t sequence = 1;
+  CHECK(other.WaitFor([&] {
+    second.feed_.OnAnnouncement(MakeAnnouncement("i-1", ++sequence), Now());
+    return phaseAt(other) == ServerPhase::Draining;
+  }));
+  CHECK(Now() - reportedAt < seconds(2));
+  second.feed_.OnAnnouncement(MakeAnnouncement("i-1", ++sequence), Now());
+  first.feed_.OnAnnouncement(MakeAnnouncement("i-1", ++sequence), Now());
+  std::this_thread::sleep_for(milliseconds(500));
+  for (Client* client : { &reporter, &other }) {
+    CHECK(client->RunOnWorker([&] { return phaseAt(*client); }) ==
+          ServerPhase::Draining);
+  }
+  ServerAnnouncement restarted = MakeAnnouncement("i-1", 1);
+  restarted.startedAtMs_ = 2;
+  first.feed_.OnAnnouncement(restarted, Now());
+  CHECK(other.WaitFor([&] { return phaseAt(other) == ServerPhase::Ready; }));
+}
+
+// Guards against a mark that is lost when all control instances restart.
+TEST_CASE("feed: a leaving server is reported to a source that has restarted")
+{
+  auto source = std::make_unique<Source>("control-1", "zone-a");
+  const uint16_t port = source->frames_.Port();
+  source->feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  source->feed_.OnAnnouncement(MakeAnnouncement("i-1", 1), Now());
+  Client client({ source->Endpoint() });
+  REQUIRE(
+    client.WaitFor([&] { return !client.feed_.Directory().Rows().empty(); }));
+  client.RunOnWorker([&] {
+    client.feed_.ReportLeavingServer({ BackendId("i-1"), 1 }, Now());
+    return true;
+  });
+  const auto isMarked = [&] {
+    const auto record = source->feed_.FindServer(BackendId("i-1"));
+    return record.has_value() && record->announcement_.isLeaving_;
+  };
+  REQUIRE(client.WaitFor(isMarked));
+  source.reset();
+  source = std::make_unique<Source>("control-1b", "zone-a", Now(), port, 79);
+  source->feed_.OnAnnouncement(MakeAnnouncement("i-1", 2), Now());
+  CHECK(client.WaitFor(isMarked));
+}
+
 // Guards against a request that crashes one server at each instance, each of
 // which has seen one crash only.
 TEST_CASE("feed: a request under which three servers crash is quarantined")
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -61,7 +61,8 @@
   void Announce(const char* aId,
                 const char* aService,
                 const std::string& aAddress,
-                ServerPhase aPhase = ServerPhase::Ready)
+                ServerPhase aPhase = ServerPhase::Ready,
+                const char* aZone = "")
   {
     ServerAnnouncement announcement;
     announcement.id_ = BackendId(aId);
@@ -69,6 +70,7 @@
     announcement.address_ = aAddress;
     announcement.slots_ = 3;
     announcement.phase_ = aPhase;
+    announcement.zone_ = ZoneName(aZone);
     announcement.startedAtMs_ = 1;
     announcement.sequence_ = ++sequence_;
     RunOnGatewayThread([&] {
@@ -109,7 +111,9 @@
 private:
   static ForwardSettings WithBudgetSlack(ForwardSettings aSettings)
   {
-    aSettings.extraBudget_.slack_ = 100;
+    if (aSettings.extraBudget_.slack_ == ExtraAttemptBudgetSettings{}.slack_) {
+      aSettings.extraBudget_.slack_ = 100;
+    }
     return aSettings;
   }
 
--- a/tests/policy/ServerDirectoryTest.cpp
+++ b/tests/policy/ServerDirectoryTest.cpp
@@ -83,6 +83,69 @@
   }
 }
 
+// Guards against a leaving server that gets requests again as it still
+// announces that it is ready.
+TEST_CASE("directory: a leaving process drains whatever it announces")
+{
+  ServerDirectory marked;
+  marked.Apply(Announce("a", "1:1", 10, 5), kStart);
+  ServerDirectory peer = marked;
+  peer.Apply(Announce("a", "1:1", 10, 9), kStart);
+  REQUIRE(marked.MarkLeaving(BackendId("a"), 10, kStart) ==
+          DirectoryUpdateResult::Changed);
+  CHECK(marked.ChangeRevision() == marked.Revision());
+  CHECK(marked.Digest() != peer.Digest());
+  SUBCASE("a repeated mark is no change")
+  {
+    CHECK(marked.MarkLeaving(BackendId("a"), 10, kStart) ==
+          DirectoryUpdateResult::Stale);
+  }
+  SUBCASE("later announcements of the process")
+  {
+    CHECK(marked.Apply(Announce("a", "1:1", 10, 6), kStart) ==
+          DirectoryUpdateResult::Renewed);
+    CHECK(PhaseOf(marked, "a") == ServerPhase::Draining);
+  }
+  SUBCASE("a peer with a later announcement takes the mark")
+  {
+    CHECK(peer.Apply(marked.Find(BackendId("a"))->announcement_, kStart) ==
+          DirectoryUpdateResult::Changed);
+    CHECK(PhaseOf(peer, "a") == ServerPhase::Draining);
+    CHECK(peer.Find(BackendId("a"))->announcement_.sequence_ == 9);
+    CHECK(marked.Digest() == peer.Digest());
+  }
+  SUBCASE("the mark comes before the announcement")
+  {
+    ServerDirectory later;
+    later.MarkLeaving(BackendId("a"), 10, kStart);
+    later.Apply(Announce("a", "1:1", 10, 6), kStart);
+    CHECK(PhaseOf(later, "a") == ServerPhase::Draining);
+  }
+  SUBCASE("the process is silent until its record expires")
+  {
+    const TimePoint later = kStart + ServerDirectory::kExpireAfter * 2;
+    REQUIRE(marked.RemoveExpired(later));
+    marked.Apply(Announce("a", "1:1", 10, 7), later);
+    CHECK(PhaseOf(marked, "a") == ServerPhase::Draining);
+  }
+  SUBCASE("a new process starts without the mark")
+  {
+    marked.Apply(Announce("a", "1:1", 20, 1), kStart);
+    CHECK(PhaseOf(marked, "a") == ServerPhase::Ready);
+    CHECK(marked.MarkLeaving(BackendId("a"), 10, kStart) ==
+          DirectoryUpdateResult::Stale);
+    CHECK(PhaseOf(marked, "a") == ServerPhase::Ready);
+  }
+  SUBCASE("its own departure is still committed, and final")
+  {
+    marked.ApplyCommitted(Announce("a", "1:1", 10, 7, ServerPhase::Draining),
+                          kStart);
+    CHECK(marked.Find(BackendId("a"))->isDepartureCommitted_);
+    marked.Deregister(BackendId("a"), 10, kStart);
+    CHECK(PhaseOf(marked, "a") == ServerPhase::Gone);
+  }
+}
+
 TEST_CASE(
   "directory: a deregistration is final for its process, not for the id")
 {
@@ -117,6 +180,40 @@
   CHECK(directory.ChangeRevision() == directory.Revision());
 }
 
+// Guards against entry instances that do not learn of a server that turns cold
+// while in use, and against a warm-up that a renewal prolongs.
+TEST_CASE("directory: the end of a warm-up is a change, its passing is none")
+{
+  const auto announce = [](uint64_t aSequence, milliseconds aWarmupLeft) {
+    ServerAnnouncement announcement = Announce("a", "1:1", 10, aSequence);
+    announcement.warmupLeft_ = aWarmupLeft;
+    return announcement;
+  };
+  ServerDirectory directory;
+  const auto endsAt = [&] {
+    return directory.Find(BackendId("a"))->WarmupEndsAt();
+  };
+  directory.Apply(announce(1, milliseconds(0)), kStart);
+  CHECK(directory.Apply(announce(2, seconds(8)), kStart + seconds(1)) ==
+        DirectoryUpdateResult::Changed);
+  CHECK(endsAt() == kStart + seconds(9));
+  // Later announcements of the same end, one of them late.
+  CHECK(directory.Apply(announce(3, seconds(7)), kStart + seconds(2)) ==
+        DirectoryUpdateResult::Renewed);
+  CHECK(directory.Apply(announce(4, seconds(6)), kStart + milliseconds(3300)) ==
+        DirectoryUpdateResult::Renewed);
+  directory.Renew(BackendId("a"), 5, kStart + seconds(4));
+  CHECK(endsAt() == kStart + milliseconds(9300));
+  directory.Renew(BackendId("a"), 6, kStart + seconds(30));
+  CHECK(endsAt() <= kStart + seconds(30));
+  CHECK(directory.Apply(announce(7, milliseconds(0)), kStart + seconds(31)) ==
+        DirectoryUpdateResult::Renewed);
+  CHECK(directory.Apply(announce(8, seconds(5)), kStart + seconds(32)) ==
+        DirectoryUpdateResult::Changed);
+  CHECK(directory.Apply(announce(9, milliseconds(0)), kStart + seconds(33)) ==
+        DirectoryUpdateResult::Changed);
+}
+
 TEST_CASE("directory: a server without announcements expires")
 {
   ServerDirectory directory;
