--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -42,11 +42,14 @@
   void Update(const ServerDirectory& aDirectory, TimePoint aNow);
 
   /// Applies a document: sets the limits on this instance's connections to each
-  /// server, and whether the document has teams.
+  /// server, the rates that cold servers tolerate, and whether the document has
+  /// teams.
   ///
   /// @param aInstances number of instances that share a server's connections,
   /// at least 1.
-  void DistributeConnections(const RouteTable& aTable, uint32_t aInstances);
+  void DistributeConnections(const RouteTable& aTable,
+                             uint32_t aInstances,
+                             TimePoint aNow);
 
   /// Sets the number of instances that share the servers' rate limits, at least
   /// 1.
@@ -78,6 +81,13 @@
                                           const RegionFilter& aRegions,
                                           TimePoint aNow) const;
 
+  /// @return the earliest end of the times that the servers of the service in
+  /// the allowed regions have stated, if each of them that is in use accepts no
+  /// requests at present.
+  std::optional<TimePoint> RefusedUntil(const ServiceName& aService,
+                                        const RegionFilter& aRegions,
+                                        TimePoint aNow) const;
+
   /// @return whether any server of the service in the allowed regions accepts
   /// requests.
   bool HasAvailableServer(const ServiceName& aService,
@@ -91,6 +101,14 @@
     shared_.slowServers_.SetCallback(std::move(aCallback));
   }
 
+  /// Sets the function that receives the processes whose replies state that
+  /// they are leaving.
+  void OnServerLeaving(
+    std::function<void(const BackendId&, uint64_t aStartedAtMs)> aCallback)
+  {
+    shared_.onLeaving_ = std::move(aCallback);
+  }
+
   /// @return which requests are not sent as they crash backend servers.
   CrashMonitor& Crashes() { return shared_.crashes_; }
 
@@ -109,6 +127,8 @@
   bool IsUsable(const ServerConnectionPool& aPool,
                 const RegionFilter& aRegions) const;
   void Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow);
+  /// @return the rate that cold servers of a service tolerate; 0 when any.
+  double ColdRateOf(const ServiceName& aService) const;
   void Remove(const std::shared_ptr<ServerConnectionPool>& aPool,
               TimePoint aNow);
 
@@ -124,6 +144,8 @@
   /// Pools of removed servers, kept until their last exchange has finished.
   std::vector<std::shared_ptr<ServerConnectionPool>> retired_;
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
+  /// Rates that cold servers tolerate, where the document states one.
+  std::unordered_map<ServiceName, double> coldRateByService_;
   uint32_t instances_ = 1;
 };
 
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "policy/AnswerTiming.h"
 #include "policy/BusyServersBackoff.h"
+#include "policy/ColdServerLimit.h"
 #include "policy/CrashSuspects.h"
 #include "policy/ExtraAttemptBudget.h"
 #include "policy/LatencyPredictor.h"
@@ -51,6 +52,8 @@
   ZoneMap zones_;
   ServerConnectionSettings serverConnections_;
   LatencyPredictorSettings rank_;
+  /// Bound of the requests to a server while it is cold.
+  ColdServerLimitSettings coldServers_;
   ExtraAttemptBudgetSettings extraBudget_;
   /// Whether an earlier process of this instance may have used its share of the
   /// slack of extra attempts shortly before this one started.
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -50,6 +50,13 @@
   {
     teamGate_.SetContactSource(std::move(aSource));
   }
+  /// Sets the function that receives the processes whose replies state that
+  /// they are leaving. Called before Start().
+  void OnServerLeaving(
+    std::function<void(const BackendId&, uint64_t aStartedAtMs)> aCallback)
+  {
+    pools_.OnServerLeaving(std::move(aCallback));
+  }
   /// @param aInstances number of entry instances that share connections,
   /// budgets and rate limits.
   void SetInstances(uint32_t aInstances, TimePoint aNow);
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -41,26 +41,35 @@
 void SingleRequestHandler::Start(TimePoint aNow)
 {
   if (!TrySend(attempts_, 0, LatestSendAt(aNow), aNow)) {
-    const auto earliest =
-      context_.pools_.EarliestSendAt(attempts_.service_, regions_, aNow);
-    Finish(RefusalAnswer(
-             earliest
-               ? "the backend servers of the service " +
-                   attempts_.service_.Value() +
-                   " limit the rate of requests; come back after the "
-                   "time that is stated"
-               : "no backend server of the service " +
-                   attempts_.service_.Value() + std::string(OnNoServer()) +
-                   " accepts requests; try again, and check its "
-                   "announcements",
-             earliest,
-             aNow),
-           aNow);
+    Finish(RefuseUnsent(aNow), aNow);
     return;
   }
   ScheduleTimer(aNow);
 }
 
+ForwardAnswer SingleRequestHandler::RefuseUnsent(TimePoint aNow) const
+{
+  const auto refusedUntil =
+    context_.pools_.RefusedUntil(attempts_.service_, regions_, aNow);
+  const auto earliest =
+    context_.pools_.EarliestSendAt(attempts_.service_, regions_, aNow);
+  const std::string& service = attempts_.service_.Value();
+  std::string reason;
+  if (refusedUntil) {
+    reason = "the backend servers of the service " + service +
+             " refuse requests; come back after the time that is stated";
+  } else if (earliest) {
+    reason = "the backend servers of the service " + service +
+             " limit the rate of requests; come back after the time that is "
+             "stated";
+  } else {
+    reason = "no backend server of the service " + service +
+             std::string(OnNoServer()) +
+             " accepts requests; try again, and check its announcements";
+  }
+  return RefusalAnswer(reason, earliest, refusedUntil, aNow);
+}
+
 void SingleRequestHandler::OnExchangeEnd(Exchange& aExchange, TimePoint aNow)
 {
   if (IsDone() || !CompleteAttempt(attempts_, aExchange, aNow)) {
@@ -74,10 +83,12 @@
     if (serverFailure_) {
       Finish(ForwardServerReply(*std::move(serverFailure_)), aNow);
     } else {
-      Finish(FailureAnswer("no backend server of the service " +
-                             attempts_.service_.Value() +
-                             " returned a usable reply",
-                           false),
+      Finish(FailureAnswer(
+               "no backend server of the service " +
+                 attempts_.service_.Value() + " returned a usable reply",
+               false,
+               context_.pools_.RefusedUntil(attempts_.service_, regions_, aNow),
+               aNow),
              aNow);
     }
   }
@@ -103,19 +114,24 @@
 void SingleRequestHandler::HandleTimer(TimePoint aNow)
 {
   if (aNow >= responseDeadline_) {
-    Finish(
-      serverFailure_
-        ? ForwardServerReply(*std::move(serverFailure_))
-        : FailureAnswer("no reply was received within the time limit", true),
-      aNow);
+    Finish(serverFailure_
+             ? ForwardServerReply(*std::move(serverFailure_))
+             : FailureAnswer("no reply was received within the time limit",
+                             true,
+                             std::nullopt,
+                             aNow),
+           aNow);
     return;
   }
   PreconnectIfDue(attempts_, aNow);
   HedgeIfDue(attempts_, 0, true, aNow);
   if (!SendIfDue(attempts_, 0, aNow)) {
-    Finish(FailureAnswer("no backend server of the service " +
-                           attempts_.service_.Value() + " accepts requests",
-                         false),
+    Finish(FailureAnswer(
+             "no backend server of the service " + attempts_.service_.Value() +
+               " accepts requests",
+             false,
+             context_.pools_.RefusedUntil(attempts_.service_, regions_, aNow),
+             aNow),
            aNow);
   }
 }
--- a/src/forward/SingleRequestHandler.h
+++ b/src/forward/SingleRequestHandler.h
@@ -30,6 +30,8 @@
     return { &attempts_, 1 };
   }
 
+  /// @return the answer to a request that no server may receive in time.
+  ForwardAnswer RefuseUnsent(TimePoint aNow) const;
   void OnReply(Exchange& aExchange, TimePoint aNow);
   ForwardAnswer ForwardServerReply(ForwardReply aReply) const;
 
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -71,6 +71,7 @@
     announcement.zone_ = ZoneName(aZone);
     announcement.slots_ = 3;
     announcement.phase_ = aPhase;
+    announcement.zone_ = ZoneName(aZone);
     announcement.startedAtMs_ = 1;
     announcement.sequence_ = ++sequence_;
     RunOnGatewayThread([&] {
@@ -112,7 +113,9 @@
 private:
   static ForwardSettings WithBudgetSlack(ForwardSettings aSettings)
   {
-    aSettings.extraBudget_.slack_ = 100;
+    if (aSettings.extraBudget_.slack_ == ExtraAttemptBudgetSettings{}.slack_) {
+      aSettings.extraBudget_.slack_ = 100;
+    }
     return aSettings;
   }
 
