--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -201,3 +201,59 @@
   stop.get();
   control.Stop();
 }
+
+TEST_CASE("edge: a key that the feed cannot vouch for is answered with 503")
+{
+  TemporaryFolder folder;
+  const uint16_t port = FreePort();
+  auto data = DataFolder::Open(folder.path_.string());
+  REQUIRE(data.ok());
+  EdgeControl control(
+    ControlSettingsFor(folder, port), *std::move(data), [] {});
+  REQUIRE(control.Start().ok());
+  EdgeSettings settings = EntrySettingsFor(port);
+  settings.forward_.teamAccess_.refusesKeysWithoutControl_ = true;
+  EdgeInstance entry(
+    settings,
+    kHeaderNames,
+    [](const std::string& aText) -> absl::StatusOr<RouteDocument> {
+      if (aText == "unreadable") {
+        return absl::InvalidArgumentError("unreadable");
+      }
+      auto document = DecodeSingleRoute(aText);
+      document->teams_.emplace();
+      return document;
+    });
+  REQUIRE(entry.Start().ok());
+  REQUIRE(WaitUntil([&] { return control.IsLeader(); }));
+  const auto commit = [&](uint64_t aVersion, const char* aText) {
+    auto operation =
+      control.Documents().Commit(DocumentVersion(aVersion), aText);
+    auto outcome = boost::asio::co_spawn(control.Workers().Context(0),
+                                         std::move(operation),
+                                         boost::asio::use_future);
+    return std::get_if<DocumentCommitted>(
+             &static_cast<const CommitOutcome&>(outcome.get())) != nullptr;
+  };
+  /// @return the status of a request with an unknown key, and its Retry-After.
+  const auto answer = [&] {
+    HttpRequest request = MakeRequest(boost::beast::http::verb::get, "/1");
+    request.set(boost::beast::http::field::host, "shop.example");
+    request.set(boost::beast::http::field::authorization, "Bearer x");
+    const auto response = BlockingExchange(
+      { boost::asio::ip::make_address("127.0.0.1"), entry.CallersPort() },
+      std::move(request),
+      seconds(5));
+    REQUIRE(response.ok());
+    return std::to_string(response->result_int()) + " " +
+           std::string(HeaderOf(*response, "Retry-After"));
+  };
+  REQUIRE(WaitUntil([&] { return commit(4, "proofs"); }));
+  CHECK(WaitUntil([&] { return answer() == "401 "; }));
+  // A newer document exists, but is not in force here.
+  REQUIRE(commit(5, "unreadable"));
+  CHECK(WaitUntil([&] { return answer() == "503 0.200"; }));
+  control.Stop();
+  CHECK(WaitUntil([&] { return answer() == "503 1.000"; }));
+  entry.Stop();
+}
