--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -99,6 +99,15 @@
     return { wire::CommandBody::RecordDeparture,
              EncodeDeparture(builder_, aBody.announcement_).Union() };
   }
+
+  WireCommand operator()(const SetEvacuation& aBody) const
+  {
+    const auto zone = builder_.CreateString(aBody.zone_.Value());
+    return { wire::CommandBody::SetEvacuation,
+             wire::CreateSetEvacuation(
+               builder_, zone, aBody.isEvacuated_, aBody.knownOrders_)
+               .Union() };
+  }
 };
 
 template<typename T>
@@ -164,6 +173,13 @@
   return RecordDeparture{ *std::move(announcement) };
 }
 
+SetEvacuation FromWire(const wire::SetEvacuation& aWire)
+{
+  return { ZoneName(aWire.zone()->str()),
+           aWire.is_evacuated(),
+           aWire.known_orders() };
+}
+
 absl::StatusOr<CommandBody> BodyOf(const wire::Command& aCommand)
 {
   switch (aCommand.body_type()) {
@@ -179,6 +195,8 @@
       return FromWire(*aCommand.body_as_AdoptDocument());
     case wire::CommandBody::RecordDeparture:
       return FromWire(*aCommand.body_as_RecordDeparture());
+    case wire::CommandBody::SetEvacuation:
+      return FromWire(*aCommand.body_as_SetEvacuation());
     case wire::CommandBody::NONE:
       break;
   }
@@ -190,6 +208,17 @@
 
 } // namespace
 
+bool IsApplied(const CommandResult& aResult)
+{
+  if (const auto* update = std::get_if<ClaimUpdateResult>(&aResult)) {
+    return update->isApplied_;
+  }
+  if (const auto* evacuation = std::get_if<EvacuationResult>(&aResult)) {
+    return evacuation->isApplied_;
+  }
+  return std::holds_alternative<DepartureRecorded>(aResult);
+}
+
 std::string EncodeCommand(const Command& aCommand)
 {
   flatbuffers::FlatBufferBuilder builder;
--- a/src/control/Command.h
+++ b/src/control/Command.h
@@ -70,12 +70,23 @@
   ServerAnnouncement announcement_;
 };
 
+/// Begins or ends the evacuation of an availability zone.
+struct SetEvacuation
+{
+  ZoneName zone_;
+  /// Whether the evacuation begins; else it ends.
+  bool isEvacuated_ = false;
+  /// Number of orders applied when the sender read the state.
+  uint64_t knownOrders_ = 0;
+};
+
 using CommandBody = std::variant<ChangeDocument,
                                  ClaimAction,
                                  RecordAction,
                                  ReleaseAction,
                                  AdoptDocument,
-                                 RecordDeparture>;
+                                 RecordDeparture,
+                                 SetEvacuation>;
 
 /// A command entry of the replicated log.
 struct Command
@@ -130,8 +141,23 @@
 struct DepartureRecorded
 {};
 
-using CommandResult =
-  std::variant<ChangeResult, ClaimResult, ClaimUpdateResult, DepartureRecorded>;
+struct EvacuationResult
+{
+  /// False when another order was applied since the sender read the state, and
+  /// this one would have changed the set.
+  bool isApplied_ = false;
+  /// Revision of the set of evacuated zones.
+  uint64_t revision_ = 0;
+};
+
+using CommandResult = std::variant<ChangeResult,
+                                   ClaimResult,
+                                   ClaimUpdateResult,
+                                   DepartureRecorded,
+                                   EvacuationResult>;
+
+/// @return whether a command that has no other result was applied.
+bool IsApplied(const CommandResult& aResult);
 
 std::string EncodeCommand(const Command& aCommand);
 /// Verifies the text before it is read.
--- a/src/control/CommandMessages.h
+++ b/src/control/CommandMessages.h
@@ -36,7 +36,8 @@
   /// With NotLeader: the leader's endpoint for frames; empty when unknown.
   std::string leader_;
   /// With Done: the result. Its state is Granted for a record or release that
-  /// was applied and for a departure, else Mismatch.
+  /// was applied, for an evacuation that was applied and for a departure,
+  /// else Mismatch.
   ClaimResult result_;
 };
 
--- a/src/control/CommandServer.cpp
+++ b/src/control/CommandServer.cpp
@@ -14,10 +14,8 @@
   if (const auto* claim = std::get_if<ClaimResult>(&aResult)) {
     return *claim;
   }
-  const auto* update = std::get_if<ClaimUpdateResult>(&aResult);
-  const bool isApplied = std::holds_alternative<DepartureRecorded>(aResult) ||
-                         (update != nullptr && update->isApplied_);
-  return { isApplied ? ClaimState::Granted : ClaimState::Mismatch, {} };
+  return { IsApplied(aResult) ? ClaimState::Granted : ClaimState::Mismatch,
+           {} };
 }
 
 /// Documents are validated by the APIs that accept them, so they do not come by
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -13,6 +13,7 @@
   DocumentLedger& documents_;
   ClaimTable& claims_;
   DepartureTable& departures_;
+  EvacuationTable& evacuations_;
   milliseconds time_;
 
   CommandResult operator()(const ChangeDocument& aBody) const
@@ -28,6 +29,10 @@
     departures_.Apply(aBody.announcement_, time_);
     return DepartureRecorded{};
   }
+  CommandResult operator()(const SetEvacuation& aBody) const
+  {
+    return evacuations_.Apply(aBody);
+  }
   template<typename Body>
   CommandResult operator()(const Body& aBody) const
   {
@@ -140,6 +145,34 @@
   return rows;
 }
 
+flatbuffers::Offset<wire::Evacuations> ToWire(
+  flatbuffers::FlatBufferBuilder& aBuilder,
+  const EvacuationTable::Rows& aRows)
+{
+  std::vector<flatbuffers::Offset<flatbuffers::String>> zones;
+  zones.reserve(aRows.zones_.size());
+  for (const ZoneName& zone : aRows.zones_) {
+    zones.push_back(aBuilder.CreateString(zone.Value()));
+  }
+  const auto zoneList = aBuilder.CreateVector(zones);
+  return wire::CreateEvacuations(
+    aBuilder, zoneList, aRows.revision_, aRows.orders_);
+}
+
+EvacuationTable::Rows EvacuationsOf(const wire::ControlSnapshot& aSnapshot)
+{
+  EvacuationTable::Rows rows;
+  if (aSnapshot.evacuations() == nullptr) {
+    return rows;
+  }
+  for (const flatbuffers::String* zone : *aSnapshot.evacuations()->zones()) {
+    rows.zones_.insert(ZoneName(zone->str()));
+  }
+  rows.revision_ = aSnapshot.evacuations()->revision();
+  rows.orders_ = aSnapshot.evacuations()->orders();
+  return rows;
+}
+
 } // namespace
 
 CommandResult ControlState::Apply(const Command& aCommand)
@@ -147,13 +180,15 @@
   // The clock of a new leader may be behind that of the previous one.
   logTime_ = std::max(logTime_, aCommand.time_);
   return std::visit(
-    CommandApplier{ documents_, claims_, departures_, logTime_ },
+    CommandApplier{ documents_, claims_, departures_, evacuations_, logTime_ },
     aCommand.body_);
 }
 
 ControlStateSnapshot ControlState::TakeSnapshot()
 {
-  return { logTime_, documents_, claims_.TakeSnapshot(), departures_ };
+  return {
+    logTime_, documents_, claims_.TakeSnapshot(), departures_, evacuations_
+  };
 }
 
 std::string ControlStateSnapshot::Encode() const
@@ -183,6 +218,7 @@
     departures.push_back(
       wire::CreateDepartureRow(builder, announcement, row.recordedAt_.count()));
   }
+  const auto evacuations = ToWire(builder, evacuations_.GetRows());
   const auto text = builder.CreateString(*documents_.Text());
   const auto changeList = builder.CreateVector(changes);
   const auto historyList = builder.CreateVector(history);
@@ -195,7 +231,8 @@
                                              changeList,
                                              historyList,
                                              claimList,
-                                             departureList));
+                                             departureList,
+                                             evacuations));
   return FinishedBytes(builder);
 }
 
@@ -231,6 +268,7 @@
                      std::move(history),
                      std::move(results));
   departures_.Restore(*std::move(departures));
+  evacuations_.Restore(EvacuationsOf(root));
   claims_ = ClaimTable();
   for (const wire::ClaimRow* row : *root.claims()) {
     claims_.Restore(row->key()->str(), FromWire(*row));
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -5,6 +5,7 @@
 #include "control/Command.h"
 #include "control/DepartureTable.h"
 #include "control/DocumentLedger.h"
+#include "control/EvacuationTable.h"
 
 #include <absl/status/status.h>
 #include <string>
@@ -20,15 +21,16 @@
   DocumentLedger documents_;
   ClaimTable::Partitions claims_;
   DepartureTable departures_;
+  EvacuationTable evacuations_;
 
   /// @return the encoded snapshot.
   std::string Encode() const;
 };
 
 /// State machine of the replicated log: the accepted document, the claims of
-/// actions and the departures of backend servers. Deterministic: the same
-/// entries in the same order give the same state on every member. Not thread
-/// safe.
+/// actions, the departures of backend servers and the evacuated zones.
+/// Deterministic: the same entries in the same order give the same state on
+/// every member. Not thread safe.
 class ControlState
 {
 public:
@@ -37,6 +39,7 @@
   const DocumentLedger& Documents() const { return documents_; }
   const ClaimTable& Claims() const { return claims_; }
   const DepartureTable& Departures() const { return departures_; }
+  const EvacuationTable& Evacuations() const { return evacuations_; }
   /// @return the log time, since the epoch: the latest time of any command
   /// applied.
   milliseconds LogTime() const { return logTime_; }
@@ -52,6 +55,7 @@
   DocumentLedger documents_;
   ClaimTable claims_;
   DepartureTable departures_;
+  EvacuationTable evacuations_;
 };
 
 } // namespace foxtail
--- a/src/control/DepartureLog.h
+++ b/src/control/DepartureLog.h
@@ -1,13 +1,12 @@
 #ifndef CONTROL_DEPARTURELOG_H
 #define CONTROL_DEPARTURELOG_H
 
-#include "control/ReplicatedControl.h"
+#include "control/CommandForwarder.h"
 
 namespace foxtail {
 
-/// Commits departures of backend servers through the replicated log. On an
-/// instance that does not lead, a command frame carries the departure to the
-/// leader. Thread safe.
+/// Commits departures of backend servers through the replicated log. Thread
+/// safe.
 class DepartureLog
 {
 public:
@@ -23,15 +22,7 @@
                                               TimePoint aDeadline);
 
 private:
-  boost::asio::awaitable<absl::Status> CommitOnce(ServerAnnouncement aDeparture,
-                                                  milliseconds aTimeout);
-  boost::asio::awaitable<absl::Status> SendToLeader(
-    std::string aLeader,
-    ServerAnnouncement aDeparture,
-    milliseconds aTimeout);
-
-  ReplicatedControl& control_;
-  FrameTransport& frames_;
+  CommandForwarder forwarder_;
   prometheus::Counter& committed_;
   prometheus::Counter& notCommitted_;
 };
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -79,6 +79,9 @@
   , versionGauge_(aMetrics.Gauge("foxtail_control_document_version",
                                  "Version of the accepted document"))
   , claimsGauge_(aMetrics.Gauge("foxtail_control_claims", "Claims kept"))
+  , evacuatedZonesGauge_(
+      aMetrics.Gauge("foxtail_control_evacuated_zones",
+                     "Availability zones that are evacuated"))
   , batches_(aMetrics.Counter("foxtail_control_syncs_total",
                               "Batches written and synced"))
   , entries_(
@@ -115,6 +118,11 @@
   onDeparture_ = std::move(aListener);
 }
 
+void ReplicatedControl::OnEvacuations(EvacuationListener aListener)
+{
+  onEvacuations_ = std::move(aListener);
+}
+
 void ReplicatedControl::OnMembership(
   std::function<void(const Membership&)> aListener)
 {
@@ -349,6 +357,11 @@
 void ReplicatedControl::Handle(const ConsensusMessage& aMessage)
 {
   node_->Receive(aMessage, now_);
+  const auto* append = std::get_if<AppendRequest>(&aMessage.body_);
+  if (append != nullptr && aMessage.term_ == node_->CurrentTerm()) {
+    leaderCommit_ = append->commitIndex_;
+    leaderCommitTerm_ = aMessage.term_;
+  }
 }
 
 bool ReplicatedControl::IsAwaitingVoters() const
@@ -545,6 +558,7 @@
   RequestJoin();
   ProposeMembers();
   NotifyMembership();
+  NotifyEvacuations();
   UpdateMetrics();
 }
 
@@ -586,6 +600,7 @@
         pending.mapped().handler_(NotLeaderError(), state_);
       }
     }
+    NotifyEvacuations();
     StartSnapshot();
   }
 }
@@ -593,6 +608,7 @@
 void ReplicatedControl::Apply(const LogEntry& aEntry)
 {
   appliedIndex_ = aEntry.index_;
+  appliedTerm_ = aEntry.term_;
   bytesSinceSnapshot_ += aEntry.payload_.size();
   entries_.Increment();
   absl::StatusOr<CommandResult> result =
@@ -638,6 +654,7 @@
   }
   hasAcceptedCommands_ = true;
   appliedIndex_ = aSnapshot.meta_.index_;
+  appliedTerm_ = aSnapshot.meta_.term_;
   bytesSinceSnapshot_ = 0;
   lastSnapshotBytes_ = aSnapshot.data_->size();
   while (!proposals_.empty() && proposals_.begin()->first <= appliedIndex_) {
@@ -720,6 +737,8 @@
   commitGauge_.Set(static_cast<double>(node_->CommitIndex()));
   versionGauge_.Set(static_cast<double>(state_.Documents().Version().Value()));
   claimsGauge_.Set(static_cast<double>(state_.Claims().Size()));
+  evacuatedZonesGauge_.Set(
+    static_cast<double>(state_.Evacuations().GetRows().zones_.size()));
 }
 
 void ReplicatedControl::NotifyDocument()
@@ -746,6 +765,29 @@
   }
 }
 
+bool ReplicatedControl::HasCaughtUp() const
+{
+  if (isLeader_) {
+    return node_->HasCommittedInTerm() && appliedIndex_ >= node_->CommitIndex();
+  }
+  // The commit index of a leader that has not committed in its term may be
+  // behind that of its predecessor.
+  return leaderCommitTerm_ == node_->CurrentTerm() && leaderCommitTerm_ != 0 &&
+         appliedTerm_ == leaderCommitTerm_ && appliedIndex_ >= leaderCommit_;
+}
+
+void ReplicatedControl::NotifyEvacuations()
+{
+  hasCaughtUp_ = hasCaughtUp_ || HasCaughtUp();
+  const EvacuationTable::Rows& rows = state_.Evacuations().GetRows();
+  if (!onEvacuations_ || !hasCaughtUp_ ||
+      rows.revision_ + 1 == notifiedEvacuationRevision_) {
+    return;
+  }
+  notifiedEvacuationRevision_ = rows.revision_ + 1;
+  onEvacuations_({ notifiedEvacuationRevision_, rows.zones_ });
+}
+
 void ReplicatedControl::ExpirePending()
 {
   for (auto row = proposals_.begin(); row != proposals_.end();) {
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -8,6 +8,7 @@
 #include "control/ControlState.h"
 #include "core/Metrics.h"
 #include "instance/FrameTransport.h"
+#include "policy/EvacuatedZones.h"
 
 #include <absl/status/statusor.h>
 #include <atomic>
@@ -37,6 +38,11 @@
 /// thread, so it must not block.
 using DepartureListener = std::function<void(const ServerAnnouncement&)>;
 
+/// Called with the evacuated zones once this instance has applied what its
+/// leader has committed, and after each change. Runs on the control thread, so
+/// it must not block.
+using EvacuationListener = std::function<void(const EvacuatedZones&)>;
+
 /// Runs one member of the control group. One thread, the control thread, drives
 /// the consensus node, its storage, its messages and the control state.
 /// Requests received while a batch is being synced go into the next batch.
@@ -59,6 +65,8 @@
   void OnDocument(DocumentListener aListener);
   /// Call before Start().
   void OnDeparture(DepartureListener aListener);
+  /// Call before Start().
+  void OnEvacuations(EvacuationListener aListener);
   /// The listener runs on the control thread when the members have changed, and
   /// must not block. Call before Start().
   void OnMembership(std::function<void(const Membership&)> aListener);
@@ -261,6 +269,10 @@
   void NotifyDocument();
   void NotifyDeparture(const Command& aCommand);
   void NotifyMembership();
+  /// @return whether the state holds all that was committed up to some time
+  /// after the start of this process.
+  bool HasCaughtUp() const;
+  void NotifyEvacuations();
   /// A group accepts its first command when it has the number of voters in
   /// goal_: with fewer, one lost disk may be the only one with the command, or
   /// leave the group without a quorum for good. Later a voter is removed only
@@ -292,6 +304,7 @@
   FrameTransport& frames_;
   DocumentListener onDocument_;
   DepartureListener onDeparture_;
+  EvacuationListener onEvacuations_;
   std::function<void()> onFailure_;
   std::function<void(const Membership&)> onMembership_;
   MemberId self_;
@@ -316,6 +329,14 @@
   bool hasAcceptedCommands_ = false;
   Membership notifiedMembership_;
   LogIndex appliedIndex_ = 0;
+  /// Term of the last applied entry.
+  Term appliedTerm_ = 0;
+  /// Latest commit index received from a leader, and that leader's term.
+  LogIndex leaderCommit_ = 0;
+  Term leaderCommitTerm_ = 0;
+  bool hasCaughtUp_ = false;
+  /// Revision of EvacuatedZones of which the listener was notified; 0: none.
+  uint64_t notifiedEvacuationRevision_ = 0;
   uint64_t bytesSinceSnapshot_ = 0;
   uint64_t lastSnapshotBytes_ = 0;
   bool isSnapshotRunning_ = false;
@@ -333,6 +354,7 @@
   prometheus::Gauge& commitGauge_;
   prometheus::Gauge& versionGauge_;
   prometheus::Gauge& claimsGauge_;
+  prometheus::Gauge& evacuatedZonesGauge_;
   prometheus::Counter& batches_;
   prometheus::Counter& entries_;
   prometheus::Counter& electionsWon_;
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -34,6 +34,9 @@
 struct RecordDeparture;
 struct RecordDepartureBuilder;
 
+struct SetEvacuation;
+struct SetEvacuationBuilder;
+
 struct Command;
 struct CommandBuilder;
 
@@ -49,6 +52,9 @@
 struct DepartureRow;
 struct DepartureRowBuilder;
 
+struct Evacuations;
+struct EvacuationsBuilder;
+
 struct ControlSnapshot;
 struct ControlSnapshotBuilder;
 
@@ -66,11 +72,12 @@
   ReleaseAction = 4,
   AdoptDocument = 5,
   RecordDeparture = 6,
+  SetEvacuation = 7,
   MIN = NONE,
-  MAX = RecordDeparture
+  MAX = SetEvacuation
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[7] {
+inline const CommandBody (&EnumValuesCommandBody())[8] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ChangeDocument,
@@ -78,13 +85,14 @@
     CommandBody::RecordAction,
     CommandBody::ReleaseAction,
     CommandBody::AdoptDocument,
-    CommandBody::RecordDeparture
+    CommandBody::RecordDeparture,
+    CommandBody::SetEvacuation
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[8] = {
+  static const char * const names[9] = {
     "NONE",
     "ChangeDocument",
     "ClaimAction",
@@ -92,13 +100,14 @@
     "ReleaseAction",
     "AdoptDocument",
     "RecordDeparture",
+    "SetEvacuation",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::RecordDeparture)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::SetEvacuation)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -131,6 +140,10 @@
   static const CommandBody enum_value = CommandBody::RecordDeparture;
 };
 
+template<> struct CommandBodyTraits<foxtail::wire::SetEvacuation> {
+  static const CommandBody enum_value = CommandBody::SetEvacuation;
+};
+
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
 bool VerifyCommandBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<CommandBody> *types);
 
@@ -789,6 +802,82 @@
       sequence);
 }
 
+struct SetEvacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SetEvacuationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_IS_EVACUATED = 6,
+    VT_KNOWN_ORDERS = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool is_evacuated() const {
+    return GetField<uint8_t>(VT_IS_EVACUATED, 0) != 0;
+  }
+  uint64_t known_orders() const {
+    return GetField<uint64_t>(VT_KNOWN_ORDERS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_EVACUATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_ORDERS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct SetEvacuationBuilder {
+  typedef SetEvacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(SetEvacuation::VT_ZONE, zone);
+  }
+  void add_is_evacuated(bool is_evacuated) {
+    fbb_.AddElement<uint8_t>(SetEvacuation::VT_IS_EVACUATED, static_cast<uint8_t>(is_evacuated), 0);
+  }
+  void add_known_orders(uint64_t known_orders) {
+    fbb_.AddElement<uint64_t>(SetEvacuation::VT_KNOWN_ORDERS, known_orders, 0);
+  }
+  explicit SetEvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SetEvacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SetEvacuation>(end);
+    fbb_.Required(o, SetEvacuation::VT_ZONE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SetEvacuation> CreateSetEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool is_evacuated = false,
+    uint64_t known_orders = 0) {
+  SetEvacuationBuilder builder_(_fbb);
+  builder_.add_known_orders(known_orders);
+  builder_.add_zone(zone);
+  builder_.add_is_evacuated(is_evacuated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SetEvacuation> CreateSetEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool is_evacuated = false,
+    uint64_t known_orders = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return foxtail::wire::CreateSetEvacuation(
+      _fbb,
+      zone__,
+      is_evacuated,
+      known_orders);
+}
+
 struct Command FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CommandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -824,6 +913,9 @@
   const foxtail::wire::RecordDeparture *body_as_RecordDeparture() const {
     return body_type() == foxtail::wire::CommandBody::RecordDeparture ? static_cast<const foxtail::wire::RecordDeparture *>(body()) : nullptr;
   }
+  const foxtail::wire::SetEvacuation *body_as_SetEvacuation() const {
+    return body_type() == foxtail::wire::CommandBody::SetEvacuation ? static_cast<const foxtail::wire::SetEvacuation *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_TIME_MS, 8) &&
@@ -858,6 +950,10 @@
   return body_as_RecordDeparture();
 }
 
+template<> inline const foxtail::wire::SetEvacuation *Command::body_as<foxtail::wire::SetEvacuation>() const {
+  return body_as_SetEvacuation();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1309,6 +1405,83 @@
   return builder_.Finish();
 }
 
+struct Evacuations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONES = 4,
+    VT_REVISION = 6,
+    VT_ORDERS = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ZONES);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t orders() const {
+    return GetField<uint64_t>(VT_ORDERS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfStrings(zones()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDERS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct EvacuationsBuilder {
+  typedef Evacuations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones) {
+    fbb_.AddOffset(Evacuations::VT_ZONES, zones);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(Evacuations::VT_REVISION, revision, 0);
+  }
+  void add_orders(uint64_t orders) {
+    fbb_.AddElement<uint64_t>(Evacuations::VT_ORDERS, orders, 0);
+  }
+  explicit EvacuationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuations>(end);
+    fbb_.Required(o, Evacuations::VT_ZONES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones = 0,
+    uint64_t revision = 0,
+    uint64_t orders = 0) {
+  EvacuationsBuilder builder_(_fbb);
+  builder_.add_orders(orders);
+  builder_.add_revision(revision);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Evacuations> CreateEvacuationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *zones = nullptr,
+    uint64_t revision = 0,
+    uint64_t orders = 0) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*zones) : 0;
+  return foxtail::wire::CreateEvacuations(
+      _fbb,
+      zones__,
+      revision,
+      orders);
+}
+
 struct ControlSnapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ControlSnapshotBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1318,7 +1491,8 @@
     VT_CHANGES = 10,
     VT_HISTORY = 12,
     VT_CLAIMS = 14,
-    VT_DEPARTURES = 16
+    VT_DEPARTURES = 16,
+    VT_EVACUATIONS = 18
   };
   int64_t log_time_ms() const {
     return GetField<int64_t>(VT_LOG_TIME_MS, 0);
@@ -1341,6 +1515,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *departures() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *>(VT_DEPARTURES);
   }
+  const foxtail::wire::Evacuations *evacuations() const {
+    return GetPointer<const foxtail::wire::Evacuations *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_LOG_TIME_MS, 8) &&
@@ -1359,6 +1536,8 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            verifier.VerifyVectorOfTables(departures()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
 };
@@ -1388,6 +1567,9 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures) {
     fbb_.AddOffset(ControlSnapshot::VT_DEPARTURES, departures);
   }
+  void add_evacuations(flatbuffers::Offset<foxtail::wire::Evacuations> evacuations) {
+    fbb_.AddOffset(ControlSnapshot::VT_EVACUATIONS, evacuations);
+  }
   explicit ControlSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1411,10 +1593,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ChangeRow>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::HistoryRow>>> history = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ClaimRow>>> claims = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures = 0,
+    flatbuffers::Offset<foxtail::wire::Evacuations> evacuations = 0) {
   ControlSnapshotBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_log_time_ms(log_time_ms);
+  builder_.add_evacuations(evacuations);
   builder_.add_departures(departures);
   builder_.add_claims(claims);
   builder_.add_history(history);
@@ -1431,7 +1615,8 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::ChangeRow>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::HistoryRow>> *history = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::ClaimRow>> *claims = nullptr,
-    const std::vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *departures = nullptr) {
+    const std::vector<flatbuffers::Offset<foxtail::wire::DepartureRow>> *departures = nullptr,
+    flatbuffers::Offset<foxtail::wire::Evacuations> evacuations = 0) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::ChangeRow>>(*changes) : 0;
   auto history__ = history ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::HistoryRow>>(*history) : 0;
@@ -1445,7 +1630,8 @@
       changes__,
       history__,
       claims__,
-      departures__);
+      departures__,
+      evacuations);
 }
 
 struct ClaimFrameReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1684,6 +1870,10 @@
       auto ptr = reinterpret_cast<const foxtail::wire::RecordDeparture *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::SetEvacuation: {
+      auto ptr = reinterpret_cast<const foxtail::wire::SetEvacuation *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -49,6 +49,7 @@
   , commands_(control_, frames_, metrics_)
   , documents_(control_)
   , departures_(control_, frames_, metrics_)
+  , evacuations_(control_, frames_, metrics_)
   , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed(), Now())
   , servers_(feed_, departures_)
   , peers_(PeerFeedSettings(settings_), frames_, workers_.Context(0), *this)
@@ -62,6 +63,8 @@
   control_.OnDeparture([this](const ServerAnnouncement& aDeparture) {
     feed_.OnDeparture(aDeparture, Now());
   });
+  control_.OnEvacuations(
+    [this](const EvacuatedZones& aZones) { feed_.OnEvacuations(aZones); });
   control_.OnMembership([this](const Membership& aMembership) {
     auto endpoints = EndpointsOf(aMembership.members_);
     boost::asio::post(workers_.Context(0), [this, endpoints] {
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -3,6 +3,7 @@
 
 #include "control/CommandServer.h"
 #include "control/DepartureLog.h"
+#include "control/EvacuationLog.h"
 #include "control/VersionedDocumentService.h"
 #include "core/Metrics.h"
 #include "core/WorkerPool.h"
@@ -52,6 +53,7 @@
   VersionedDocumentService& Documents() { return documents_; }
   FeedSource& Feed() { return feed_; }
   ServerRegistration& Servers() { return servers_; }
+  EvacuationLog& Evacuations() { return evacuations_; }
   Metrics& GetMetrics() { return metrics_; }
   /// Worker pool, also for the HTTP servers of the same process.
   WorkerPool& Workers() { return workers_; }
@@ -72,6 +74,7 @@
   {
     return {};
   }
+  void OnFeedEvacuations(const EvacuatedZones&, TimePoint) override {}
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
   /// Polls the seeds and the members for the servers that announced themselves
   /// there. Called on worker 0 when one of the lists has changed.
@@ -87,6 +90,7 @@
   CommandServer commands_;
   VersionedDocumentService documents_;
   DepartureLog departures_;
+  EvacuationLog evacuations_;
   FeedSource feed_;
   ServerRegistration servers_;
   FeedClient peers_;
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -43,6 +43,9 @@
                                  "Version of the document in force"))
   , serversGauge_(metrics_.Gauge("foxtail_edge_backend_servers",
                                  "Backend servers that are announced"))
+  , evacuatedZonesGauge_(
+      metrics_.Gauge("foxtail_edge_evacuated_zones",
+                     "Availability zones whose servers receive no requests"))
   , sourcesGauge_(
       metrics_.Gauge("foxtail_edge_live_sources",
                      "Control instances whose last reply is recent"))
@@ -94,7 +97,9 @@
   if (isDraining_) {
     return "the instance is stopping";
   }
-  return isReady_ ? "" : "the latest routes have not been received yet";
+  return isReady_ ? ""
+                  : "the latest routes and evacuations have not been received "
+                    "yet";
 }
 
 void EdgeInstance::OnFeedDocument(DocumentVersion aVersion,
@@ -120,6 +125,10 @@
 void EdgeInstance::OnFeedServers(const ServerDirectory& aDirectory,
                                  TimePoint aNow)
 {
+  // Without the evacuations, requests would reach servers of evacuated zones.
+  if (!hasEvacuations_) {
+    return;
+  }
   gateway_.SetServers(aDirectory, aNow);
   serversGauge_.Set(static_cast<double>(gateway_.ServerCount()));
 }
@@ -141,6 +150,19 @@
   return gateway_.Crashes().Quarantines(aNow);
 }
 
+void EdgeInstance::OnFeedEvacuations(const EvacuatedZones& aZones,
+                                     TimePoint aNow)
+{
+  LogLine(LogLevel::Info, "evacuations_in_force")
+    .Add("revision", aZones.revision_)
+    .Add("zones", aZones.Names());
+  evacuatedZonesGauge_.Set(static_cast<double>(aZones.zones_.size()));
+  gateway_.SetEvacuatedZones(aZones.zones_, aNow);
+  if (!std::exchange(hasEvacuations_, true)) {
+    OnFeedServers(feed_.Directory(), aNow);
+  }
+}
+
 void EdgeInstance::OnFeedEntryCount(uint32_t aEntryCount,
                                     bool aIsComplete,
                                     TimePoint aNow)
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -79,6 +79,7 @@
   void OnFeedQuarantines(const std::vector<RequestQuarantine>& aQuarantines,
                          TimePoint aNow) override;
   std::vector<RequestQuarantine> QuarantinesInForce(TimePoint aNow) override;
+  void OnFeedEvacuations(const EvacuatedZones& aZones, TimePoint aNow) override;
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint aNow) override;
@@ -103,10 +104,12 @@
   boost::asio::steady_timer readinessTimer_;
   std::atomic<bool> isDraining_{ false };
   std::atomic<bool> isReady_{ false };
+  bool hasEvacuations_ = false;
   bool wasReady_ = false;
   bool wasFollowing_ = false;
   prometheus::Gauge& versionGauge_;
   prometheus::Gauge& serversGauge_;
+  prometheus::Gauge& evacuatedZonesGauge_;
   prometheus::Gauge& sourcesGauge_;
   prometheus::Gauge& droppedLinesGauge_;
 };
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -48,7 +48,7 @@
 
 bool FeedClient::IsReady(TimePoint aNow) const
 {
-  if (version_.Value() == 0) {
+  if (version_.Value() == 0 || !evacuations_.IsKnown()) {
     return false;
   }
   return (HaveAllReplied() && hasServers_) ||
@@ -154,6 +154,7 @@
   request.isControl_ = settings_.isControl_;
   request.knownSlowRevision_ = aSource.slowRevision_;
   request.knownQuarantineRevision_ = aSource.quarantineRevision_;
+  request.knownEvacuationRevision_ = evacuations_.revision_;
   request.wantsText_ = WantsText(aSource, aNow);
   request.wantsServers_ = WantsServers(aSource, aNow);
   request.wantsRenewals_ =
@@ -281,6 +282,9 @@
   aSource.hasAllEntryInstances_ = aReply.hasAllEntryInstances_;
   aSource.distance_ = settings_.zones_.DistanceTo(aReply.zone_);
   aSource.version_ = aReply.version_;
+  if (!settings_.isControl_) {
+    ApplyEvacuations(aReply, aNow);
+  }
   ApplyServers(aSource, aRequest, aReply, aNow);
   if (settings_.isControl_ && wasLongLost) {
     // Its servers may have expired here while others renewed theirs.
@@ -501,6 +505,16 @@
   listener_.OnFeedQuarantines(quarantines, aNow);
 }
 
+void FeedClient::ApplyEvacuations(const FeedReply& aReply, TimePoint aNow)
+{
+  const EvacuatedZones zones{ aReply.evacuationRevision_,
+                              { aReply.evacuatedZones_.begin(),
+                                aReply.evacuatedZones_.end() } };
+  if (evacuations_.Adopt(zones)) {
+    listener_.OnFeedEvacuations(evacuations_, aNow);
+  }
+}
+
 void FeedClient::ApplyDocument(const FeedReply& aReply, TimePoint aNow)
 {
   if (aReply.version_ > latestKnownVersion_) {
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -4,6 +4,7 @@
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
 #include "policy/CrashSuspects.h"
+#include "policy/EvacuatedZones.h"
 #include "policy/SlowServerBoard.h"
 #include "policy/ZoneMap.h"
 
@@ -102,6 +103,10 @@
     TimePoint aNow) = 0;
   /// @return the quarantines in force, for a source that has restarted.
   virtual std::vector<RequestQuarantine> QuarantinesInForce(TimePoint aNow) = 0;
+  /// Called with a set of evacuated zones that is newer than all before, ahead
+  /// of the document and the servers of the same reply.
+  virtual void OnFeedEvacuations(const EvacuatedZones& aZones,
+                                 TimePoint aNow) = 0;
   /// @param aEntryCount number of entry instances that poll the same sources.
   /// @param aIsComplete false while there may be more, as all sources started
   /// to count a short time ago.
@@ -138,8 +143,8 @@
   /// together with reports that follow shortly. Called on worker 0.
   void ReportCrash(const CrashReport& aReport);
 
-  /// @return whether the newest document that any reachable source has is
-  /// received, or the wait for it is over.
+  /// @return whether the evacuated zones are known, and the newest document
+  /// that any reachable source has is received or the wait for it is over.
   bool IsReady(TimePoint aNow) const;
   const ServerDirectory& Directory() const { return directory_; }
   DocumentVersion Version() const { return version_; }
@@ -223,6 +228,7 @@
                                           const char* aWhat);
   void ApplyQuarantines(const FeedReply& aReply, TimePoint aNow);
   void ApplySlowServers(const FeedReply& aReply, TimePoint aNow);
+  void ApplyEvacuations(const FeedReply& aReply, TimePoint aNow);
   void ApplyDocument(const FeedReply& aReply, TimePoint aNow);
   void NotifyEntryCount(TimePoint aNow);
   void RecordLoss(const std::string& aEndpoint,
@@ -239,6 +245,7 @@
   TimePoint renewedAt_{};
   /// Whether a source has sent its servers.
   bool hasServers_ = false;
+  EvacuatedZones evacuations_;
   DocumentVersion version_;
   TimePoint startedAt_{};
   TimePoint firstDocumentAt_ = TimePoint::max();
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -91,7 +91,8 @@
   uint64_t knownQuarantineRevision_ = 0;
   /// Leaving servers that the client has found since its last report.
   std::vector<FeedLeavingServer> leavingServers_{};
-  /// Revision of the evacuated zones that the client has.
+  /// Revision of the evacuated zones that the client has, from whichever
+  /// source; 0 for none.
   uint64_t knownEvacuationRevision_ = 0;
 };
 
@@ -141,7 +142,8 @@
   std::vector<FeedQuarantine> quarantines_;
   uint64_t quarantineRevision_ = 0;
   /// Availability zones whose servers receive no requests, and the revision of
-  /// that set in the replicated log.
+  /// that set; see EvacuatedZones. The set is empty when the client has this
+  /// revision or a later one.
   std::vector<ZoneName> evacuatedZones_;
   uint64_t evacuationRevision_ = 0;
 };
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -205,6 +205,18 @@
   CompletePolls();
 }
 
+void FeedSource::OnEvacuations(const EvacuatedZones& aZones)
+{
+  const std::lock_guard lock(mutex_);
+  if (!evacuations_.Adopt(aZones)) {
+    return;
+  }
+  LogLine(LogLevel::Info, "evacuations_applied")
+    .Add("revision", evacuations_.revision_)
+    .Add("zones", evacuations_.Names());
+  CompletePolls();
+}
+
 uint32_t FeedSource::EntryCount(TimePoint aNow)
 {
   const std::lock_guard lock(mutex_);
@@ -326,7 +338,8 @@
 bool FeedSource::HasNonServerUpdates(const FeedRequest& aRequest) const
 {
   if (!aRequest.isControl_ &&
-      crashSuspects_.Revision() > aRequest.knownQuarantineRevision_) {
+      (crashSuspects_.Revision() > aRequest.knownQuarantineRevision_ ||
+       evacuations_.revision_ > aRequest.knownEvacuationRevision_)) {
     return true;
   }
   return aRequest.source_ != id_ ||
@@ -404,6 +417,11 @@
           quarantine.treatment_ });
     }
     reply.quarantineRevision_ = crashSuspects_.Revision();
+    reply.evacuationRevision_ = evacuations_.revision_;
+    if (evacuations_.revision_ > aRequest.knownEvacuationRevision_) {
+      reply.evacuatedZones_.assign(evacuations_.zones_.begin(),
+                                   evacuations_.zones_.end());
+    }
   }
   reply.controlsRevision_ = controlsRevision_;
   if (aRequest.source_ != id_ ||
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -4,6 +4,7 @@
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
 #include "policy/CrashSuspects.h"
+#include "policy/EvacuatedZones.h"
 #include "policy/SlowServerBoard.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -69,6 +70,10 @@
   /// Sets the frame endpoints of the control instances.
   void OnControlInstances(std::vector<std::string> aEndpoints);
 
+  /// Sets the evacuated zones; a set that is not newer is ignored. Until the
+  /// first call, replies state that the set is not known.
+  void OnEvacuations(const EvacuatedZones& aZones);
+
   /// @return number of entry instances that sent a request recently.
   uint32_t EntryCount(TimePoint aNow);
 
@@ -120,6 +125,7 @@
   ServerDirectory directory_;
   SlowServerBoard slowServers_;
   CrashSuspects crashSuspects_;
+  EvacuatedZones evacuations_;
   /// Servers whose last change was received from another control instance, and
   /// the revision of the last change that a server announced to this one.
   std::unordered_set<BackendId> updatedByPeers_;
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -59,10 +59,22 @@
     } else if (found->second->Announcement().sequence_ !=
                row.announcement_.sequence_) {
       found->second->Update(row.announcement_, aNow);
+      found->second->SetEvacuated(
+        evacuatedZones_.contains(row.announcement_.zone_), aNow);
     }
   }
 }
 
+void BackendPoolSet::SetEvacuatedZones(std::set<ZoneName> aZones,
+                                       TimePoint aNow)
+{
+  evacuatedZones_ = std::move(aZones);
+  for (const auto& [id, pool] : byId_) {
+    pool->SetEvacuated(evacuatedZones_.contains(pool->Announcement().zone_),
+                       aNow);
+  }
+}
+
 void BackendPoolSet::DistributeConnections(const RouteTable& aTable,
                                            uint32_t aInstances)
 {
@@ -195,6 +207,7 @@
                             ? kUnknownServiceMaxConnections
                             : maxConnections->second);
   pool->SetInstances(instances_, aNow);
+  pool->SetEvacuated(evacuatedZones_.contains(aAnnouncement.zone_), aNow);
   byService_[aAnnouncement.service_].push_back(pool);
   byId_[aAnnouncement.id_] = std::move(pool);
 }
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -40,6 +40,9 @@
   /// their address or service.
   void Update(const ServerDirectory& aDirectory, TimePoint aNow);
 
+  /// Sets the zones whose servers accept no requests.
+  void SetEvacuatedZones(std::set<ZoneName> aZones, TimePoint aNow);
+
   /// Sets the limits on this instance's connections to each server.
   ///
   /// @param aInstances number of instances that share a server's connections,
@@ -113,6 +116,7 @@
   /// Pools of removed servers, kept until their last exchange has finished.
   std::vector<std::shared_ptr<ServerConnectionPool>> retired_;
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
+  std::set<ZoneName> evacuatedZones_;
   uint32_t instances_ = 1;
 };
 
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -38,6 +38,11 @@
   /// keep theirs.
   void SetRoutes(std::shared_ptr<const RouteTable> aTable, TimePoint aNow);
   void SetServers(const ServerDirectory& aDirectory, TimePoint aNow);
+  /// Sets the zones whose servers accept no requests.
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones, TimePoint aNow)
+  {
+    pools_.SetEvacuatedZones(aZones, aNow);
+  }
   /// Takes servers that several instances found slow.
   void OnSharedSlowServers(const std::vector<SlowServer>& aServers);
   /// Sets the function that receives the servers that this instance finds slow.
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -22,7 +22,8 @@
 constexpr milliseconds kInitialUnreachableBackoff{ 100 };
 constexpr milliseconds kMaxUnreachableBackoff{ 2000 };
 /// Time in which requests that wait for a connection may still be sent to a
-/// server that has begun to drain; then they are sent to other servers.
+/// server that has begun to drain or whose zone was evacuated; then they are
+/// sent to other servers.
 constexpr milliseconds kMaxQueueTimeWhileDraining{ 300 };
 /// Interval of the log lines about one server that states a rate limit.
 constexpr seconds kRateLimitLogInterval{ 10 };
@@ -122,14 +123,24 @@
   warmupUntil_ = aNow + announcement_.warmupLeft_;
 }
 
+void ServerConnectionPool::SetEvacuated(bool aIsEvacuated, TimePoint aNow)
+{
+  if (aIsEvacuated && AcceptsRequests()) {
+    drainingSince_ = aNow;
+  }
+  isEvacuated_ = aIsEvacuated;
+}
+
 void ServerConnectionPool::Send(std::shared_ptr<Exchange> aExchange,
                                 TimePoint aNow)
 {
   aExchange->startedAt_ = aNow;
-  if (waiting_.size() >= settings_.maxWaitingRequests_ || isRetired_) {
+  // A request that waited for a permit may be sent after the evacuation began.
+  const bool isUnusable = isRetired_ || isEvacuated_;
+  if (waiting_.size() >= settings_.maxWaitingRequests_ || isUnusable) {
     aExchange->outcome_ = ExchangeOutcome::NotSent;
     aExchange->fault_ =
-      isRetired_ ? ExchangeFault::ServerRemoved : ExchangeFault::QueueFull;
+      isUnusable ? ExchangeFault::ServerRemoved : ExchangeFault::QueueFull;
     boost::asio::post(context_, [exchange = std::move(aExchange)] {
       NotifyListener(exchange, Now());
     });
@@ -186,7 +197,7 @@
 void ServerConnectionPool::CheckTimeouts(TimePoint aNow)
 {
   CheckForCrash(aNow);
-  if (announcement_.phase_ != ServerPhase::Ready &&
+  if (!AcceptsRequests() &&
       aNow - drainingSince_ > kMaxQueueTimeWhileDraining) {
     while (!waiting_.empty()) {
       FailOneWaiting(ExchangeFault::ServerRemoved, aNow);
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -76,6 +76,9 @@
     maxConnections_ = aMaxConnections;
   }
 
+  /// @param aIsEvacuated whether the server's zone is evacuated.
+  void SetEvacuated(bool aIsEvacuated, TimePoint aNow);
+
   /// @param aInstances instances that share the server's rate limit, at least
   /// 1.
   void SetInstances(uint32_t aInstances, TimePoint aNow)
@@ -127,7 +130,8 @@
   ReplicaCandidate State(TimePoint aNow) const;
   bool AcceptsRequests() const
   {
-    return !isRetired_ && announcement_.phase_ == ServerPhase::Ready;
+    return !isRetired_ && !isEvacuated_ &&
+           announcement_.phase_ == ServerPhase::Ready;
   }
   const ServerAnnouncement& Announcement() const { return announcement_; }
 
@@ -175,6 +179,7 @@
   const ZoneDistance distance_;
   uint32_t maxConnections_ = 1;
   bool isRetired_ = false;
+  bool isEvacuated_ = false;
 
   std::vector<std::shared_ptr<ServerConnection>> connections_;
   /// Most recently used last.
@@ -194,6 +199,7 @@
   double failureRate_ = 0;
   TimePoint failureRateAt_{};
   TimePoint warmupUntil_{};
+  /// When the server began to drain or its zone was evacuated.
   TimePoint drainingSince_{};
   TimePoint unreachableUntil_{};
   milliseconds unreachableBackoff_{ 0 };
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -51,7 +51,7 @@
               "time that is stated"
           : "no backend server of the service " + attempts_.service_.Value() +
               " accepts requests; try again, and check its "
-              "announcements",
+              "announcements and the evacuated zones",
         earliest,
         aNow),
       aNow);
--- /dev/null
+++ b/tests/control/EvacuationTest.cpp
@@ -0,0 +1,215 @@
+#include "ControlMember.h"
+#include "control/control_generated.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace foxtail;
+
+namespace {
+
+EvacuationResult ApplyOrder(ControlState& aState,
+                            const char* aZone,
+                            bool aIsEvacuated,
+                            uint64_t aKnownOrders)
+{
+  const Command command{ milliseconds(1),
+                         SetEvacuation{
+                           ZoneName(aZone), aIsEvacuated, aKnownOrders } };
+  // Each command passes through its encoding, as in the log.
+  const auto decoded = DecodeCommand(EncodeCommand(command));
+  REQUIRE(decoded.ok());
+  return std::get<EvacuationResult>(aState.Apply(*decoded));
+}
+
+/// A group of three control instances.
+class Group
+{
+public:
+  Group()
+  {
+    for (const char* name : { "control-1", "control-2", "control-3" }) {
+      std::vector<const ControlMember*> seeds;
+      for (const auto& member : members_) {
+        seeds.push_back(member.get());
+      }
+      members_.push_back(std::make_unique<ControlMember>(name, seeds));
+      members_.back()->Start(seeds.empty());
+      const size_t count = members_.size();
+      REQUIRE(WaitUntil([&] { return members_[0]->Voters() == count; }));
+    }
+    for (size_t i = 0; i < members_.size(); ++i) {
+      std::vector<ControlPeer> seeds;
+      for (size_t other = 0; other < members_.size(); ++other) {
+        if (other != i) {
+          seeds.push_back(members_[other]->AsSeed());
+        }
+      }
+      members_[i]->SetSeeds(std::move(seeds));
+    }
+    REQUIRE(WaitUntil([&] { return members_[0]->Commit(1).ok(); }));
+  }
+
+  ControlMember& Leader() { return *members_[0]; }
+  ControlMember& Follower(size_t aNumber) { return *members_[aNumber]; }
+  std::vector<std::unique_ptr<ControlMember>>& Members() { return members_; }
+
+private:
+  std::vector<std::unique_ptr<ControlMember>> members_;
+};
+
+/// Sends an order by turns to the instances until one confirms it.
+void ResendUntilConfirmed(const std::vector<ControlMember*>& aMembers,
+                          const char* aZone,
+                          bool aIsEvacuated)
+{
+  size_t number = 0;
+  CHECK(WaitUntil([&] {
+    return aMembers[number++ % aMembers.size()]
+      ->Evacuate(aZone, aIsEvacuated)
+      .ok();
+  }));
+}
+
+} // namespace
+
+TEST_CASE("evacuation: an order that is resent changes nothing again")
+{
+  ControlState state;
+  CHECK(ApplyOrder(state, "zone-a", true, 0).isApplied_);
+  const EvacuationResult resent = ApplyOrder(state, "zone-a", true, 0);
+  CHECK(resent.isApplied_);
+  CHECK(resent.revision_ == 1);
+  CHECK(ApplyOrder(state, "zone-b", true, 2).revision_ == 2);
+  CHECK(ApplyOrder(state, "zone-a", false, 3).revision_ == 3);
+  CHECK(state.Evacuations().GetRows().zones_ == std::set{ ZoneName("zone-b") });
+  CHECK(ApplyOrder(state, "zone-c", false, 0).revision_ == 3);
+}
+
+// The duplicate of an order that a failed link delayed arrives after the
+// opposite order was acknowledged.
+TEST_CASE("evacuation: a delayed order does not undo a later one")
+{
+  ControlState state;
+  CHECK(ApplyOrder(state, "zone-a", true, 0).isApplied_);
+  CHECK(ApplyOrder(state, "zone-a", false, 1).isApplied_);
+  CHECK_FALSE(ApplyOrder(state, "zone-a", true, 0).isApplied_);
+  CHECK_FALSE(ApplyOrder(state, "zone-a", true, 1).isApplied_);
+  CHECK(state.Evacuations().GetRows().zones_.empty());
+  CHECK(state.Evacuations().GetRows().revision_ == 2);
+
+  // The later order may itself have changed nothing.
+  ControlState other;
+  CHECK(ApplyOrder(other, "zone-a", false, 0).isApplied_);
+  CHECK_FALSE(ApplyOrder(other, "zone-a", true, 0).isApplied_);
+}
+
+TEST_CASE("evacuation: a snapshot keeps the set and its revision")
+{
+  ControlState state;
+  ApplyOrder(state, "zone-a", true, 0);
+  ApplyOrder(state, "zone-b", true, 1);
+  ApplyOrder(state, "zone-b", true, 2);
+  ControlState restored;
+  ApplyOrder(restored, "zone-z", true, 0);
+  REQUIRE(restored.Restore(state.TakeSnapshot().Encode()).ok());
+  CHECK(restored.Evacuations().GetRows() == state.Evacuations().GetRows());
+  CHECK(restored.Evacuations().GetRows().orders_ == 3);
+}
+
+TEST_CASE("evacuation: a snapshot of an earlier release holds no evacuation")
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto text = builder.CreateString("routes");
+  const auto changes =
+    builder.CreateVector(std::vector<flatbuffers::Offset<wire::ChangeRow>>());
+  const auto history =
+    builder.CreateVector(std::vector<flatbuffers::Offset<wire::HistoryRow>>());
+  const auto claims =
+    builder.CreateVector(std::vector<flatbuffers::Offset<wire::ClaimRow>>());
+  builder.Finish(
+    wire::CreateControlSnapshot(builder, 5, 7, text, changes, history, claims));
+  ControlState state;
+  ApplyOrder(state, "zone-a", true, 0);
+  REQUIRE(
+    state
+      .Restore({ reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                 builder.GetSize() })
+      .ok());
+  CHECK(state.Documents().Version() == DocumentVersion(7));
+  CHECK(state.Evacuations().GetRows() == EvacuationTable::Rows{});
+}
+
+TEST_CASE("evacuation: any control instance commits an order")
+{
+  Group group;
+  CHECK(group.Follower(1).Evacuate("zone-a", true).ok());
+  CHECK(group.Follower(2).Evacuate("zone-a", true).ok());
+  CHECK(group.Leader().Evacuate("zone-b", true).ok());
+  CHECK(group.Follower(2).Evacuate("zone-a", false).ok());
+  for (const auto& member : group.Members()) {
+    CHECK(WaitUntil([&] { return member->Notified().revision_ == 4; }));
+    CHECK(member->Notified().Names() == "zone-b");
+  }
+}
+
+TEST_CASE("evacuation: an order is confirmed after the leader was lost before "
+          "the commit")
+{
+  Group group;
+  group.Leader().CutOff();
+  // The leader, which has lost its group, must not acknowledge.
+  CHECK_FALSE(group.Leader().Evacuate("zone-b", true).ok());
+  ResendUntilConfirmed(
+    { &group.Follower(1), &group.Follower(2) }, "zone-a", true);
+  for (const size_t number : { 1, 2 }) {
+    CHECK(WaitUntil(
+      [&] { return group.Follower(number).Notified().revision_ == 2; }));
+    CHECK(group.Follower(number).Notified().Names() == "zone-a");
+  }
+}
+
+TEST_CASE("evacuation: an order is confirmed once more after the leader was "
+          "lost between the commit and the acknowledgement")
+{
+  Group group;
+  REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
+  group.Leader().CutOff();
+  ResendUntilConfirmed(
+    { &group.Follower(1), &group.Follower(2) }, "zone-a", true);
+  CHECK(WaitUntil([&] { return group.Follower(1).Notified().revision_ == 2; }));
+  ResendUntilConfirmed(
+    { &group.Follower(2), &group.Follower(1) }, "zone-a", false);
+  CHECK(WaitUntil([&] { return group.Follower(1).Notified().revision_ == 3; }));
+  CHECK(group.Follower(1).Notified().zones_.empty());
+}
+
+// Entry instances that started against it would use an evacuated zone.
+TEST_CASE("evacuation: a restarted instance does not state the set before it "
+          "has caught up with a leader")
+{
+  Group group;
+  REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
+  std::vector<uint16_t> ports;
+  for (const auto& member : group.Members()) {
+    REQUIRE(WaitUntil([&] { return member->Notified().revision_ == 2; }));
+    ports.push_back(member->Port());
+    member->KeepFolder();
+  }
+  while (!group.Members().empty()) {
+    group.Members().pop_back();
+  }
+  ControlMember first("control-1", {}, ports[0]);
+  ControlMember second("control-2", { &first }, ports[1]);
+  ControlMember third("control-3", { &first }, ports[2]);
+  first.Start(false);
+  std::this_thread::sleep_for(milliseconds(800));
+  CHECK_FALSE(first.Notified().IsKnown());
+  second.Start(false);
+  CHECK(WaitUntil([&] { return first.Notified().IsKnown(); }));
+  CHECK(WaitUntil([&] { return second.Notified().IsKnown(); }));
+  CHECK(first.Notified().Names() == "zone-a");
+  CHECK(second.Notified().revision_ == 2);
+  third.Start(false);
+  CHECK(WaitUntil([&] { return third.Notified().revision_ == 2; }));
+}
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <future>
+#include <thread>
 
 using namespace foxtail;
 
@@ -201,3 +202,77 @@
   stop.get();
   control.Stop();
 }
+
+// An entry instance that starts during an evacuation has the servers of the
+// zone, but must not use them.
+TEST_CASE("edge: an evacuation takes effect on entry instances that run and on "
+          "those that start later, until it ends")
+{
+  TemporaryFolder folder;
+  const uint16_t port = FreePort();
+  auto data = DataFolder::Open(folder.path_.string());
+  REQUIRE(data.ok());
+  EdgeControl control(
+    ControlSettingsFor(folder, port), *std::move(data), [] {});
+  REQUIRE(control.Start().ok());
+  REQUIRE(WaitUntil([&] { return control.IsLeader(); }));
+  const auto evacuate = [&](bool aIsEvacuated) {
+    auto order = control.Evacuations().Commit(
+      ZoneName("zone-b"), aIsEvacuated, Now() + milliseconds(850));
+    return boost::asio::co_spawn(control.Workers().Context(0),
+                                 std::move(order),
+                                 boost::asio::use_future)
+      .get()
+      .ok();
+  };
+  auto commit = control.Documents().Commit(DocumentVersion(1), "proofs");
+  boost::asio::co_spawn(
+    control.Workers().Context(0), std::move(commit), boost::asio::use_future)
+    .get();
+  ScriptedServer server([](const std::string&, size_t) {
+    return ScriptedReply{ "HTTP/1.1 200 OK\r\n" + kHeaderNames.signature_ +
+                          ": sig-1\r\nContent-Length: 4\r\n\r\ngood" };
+  });
+  ServerAnnouncement announcement;
+  announcement.id_ = BackendId("i-1");
+  announcement.service_ = ServiceName("proofs");
+  announcement.address_ = server.Address();
+  announcement.zone_ = ZoneName("zone-b");
+  control.Feed().OnAnnouncement(announcement, Now());
+  EdgeSettings settings = EntrySettingsFor(port);
+  settings.forward_.startupHold_.maxStartupTime_ = milliseconds(0);
+  const auto answers = [&](EdgeInstance& aEntry, unsigned aStatus) {
+    return WaitUntil([&] {
+      const auto response = SendRequest(aEntry.CallersPort());
+      return response.ok() && response->result_int() == aStatus;
+    });
+  };
+  EdgeInstance entry(settings, kHeaderNames, DecodeSingleRoute);
+  REQUIRE(entry.Start().ok());
+  REQUIRE(answers(entry, 200));
+
+  CHECK(evacuate(true));
+  REQUIRE(answers(entry, 503));
+  const size_t before = server.Requests().size();
+  EdgeSettings lateSettings = settings;
+  lateSettings.instance_ = InstanceId("entry-2");
+  lateSettings.frames_ = FrameSettings("entry-2");
+  EdgeInstance late(lateSettings, kHeaderNames, DecodeSingleRoute);
+  REQUIRE(late.Start().ok());
+  for (int i = 0; i < 20; ++i) {
+    const auto response = SendRequest(late.CallersPort());
+    REQUIRE(response.ok());
+    CHECK(response->result_int() == 503);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  CHECK(WaitUntil([&] { return late.NotReadyReason().empty(); }));
+  CHECK(SendRequest(late.CallersPort())->result_int() == 503);
+  CHECK(server.Requests().size() == before);
+
+  CHECK(evacuate(false));
+  CHECK(answers(entry, 200));
+  CHECK(answers(late, 200));
+  late.Stop();
+  entry.Stop();
+  control.Stop();
+}
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -59,11 +59,13 @@
   Source(const char* aName,
          const char* aZone,
          TimePoint aStartedAt = Now() - seconds(60),
-         uint16_t aPort = 0)
+         uint16_t aPort = 0,
+         EvacuatedZones aEvacuations = { 1, {} })
     : pool_(1)
     , frames_(FrameSettings(aName, aPort), pool_)
     , feed_(ZoneName(aZone), frames_, metrics_, 77, aStartedAt)
   {
+    feed_.OnEvacuations(aEvacuations);
     frames_.Start().IgnoreError();
     pool_.Start();
   }
@@ -129,6 +131,7 @@
   {
     return {};
   }
+  void OnFeedEvacuations(const EvacuatedZones&, TimePoint) override {}
   void OnFeedEntryCount(uint32_t, bool, TimePoint) override {}
 
   Source& own_;
@@ -184,6 +187,7 @@
   std::vector<std::string> texts_;
   std::vector<SlowServer> slowServers_;
   std::vector<RequestQuarantine> quarantines_;
+  std::vector<EvacuatedZones> evacuations_;
   uint32_t entryInstances_ = 0;
   bool areEntriesComplete_ = false;
 
@@ -221,6 +225,10 @@
   {
     return quarantines_;
   }
+  void OnFeedEvacuations(const EvacuatedZones& aZones, TimePoint) override
+  {
+    evacuations_.push_back(aZones);
+  }
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint) override
@@ -756,3 +764,66 @@
   CHECK(client.RunOnWorker([&] { return client.texts_.back(); }) == text);
   CHECK(source.frames_.BytesSent(FrameKind::FeedReply) < text.size() / 4);
 }
+
+TEST_CASE("feed: an evacuation ends the wait of a long-poll request and is "
+          "received once")
+{
+  Source source("control-1", "zone-a");
+  source.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  Client client({ source.Endpoint() });
+  REQUIRE(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+  REQUIRE(client.RunOnWorker([&] { return client.evacuations_.size(); }) == 1);
+  const TimePoint begin = Now();
+  source.feed_.OnEvacuations({ 2, { ZoneName("zone-b") } });
+  REQUIRE(client.WaitFor([&] { return client.evacuations_.size() == 2; }));
+  CHECK(Now() - begin < milliseconds(500));
+  CHECK(client.RunOnWorker(
+          [&] { return client.evacuations_.back().Names(); }) == "zone-b");
+  // Later replies with the same revision change nothing.
+  source.feed_.OnDocument(DocumentVersion(2), SharedText("more"));
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 2; }));
+  CHECK(client.RunOnWorker([&] { return client.evacuations_.size(); }) == 2);
+}
+
+TEST_CASE("feed: a source with an older set does not end an evacuation")
+{
+  // It is cut off from the others, or has restarted and lacks the latest log.
+  Source latest("control-1",
+                "zone-a",
+                Now() - seconds(60),
+                0,
+                { 5, { ZoneName("zone-b") } });
+  Source old("control-2", "zone-a", Now() - seconds(60), 0, { 4, {} });
+  latest.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  old.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  Client client({ latest.Endpoint(), old.Endpoint() });
+  REQUIRE(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+  REQUIRE(client.WaitFor([&] {
+    return !client.evacuations_.empty() &&
+           client.evacuations_.back().revision_ == 5;
+  }));
+  old.feed_.OnDocument(DocumentVersion(2), SharedText("more"));
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 2; }));
+  CHECK(client.RunOnWorker(
+          [&] { return client.evacuations_.back().Names(); }) == "zone-b");
+  // The source ignores a late notification as well.
+  latest.feed_.OnEvacuations({ 3, {} });
+  old.feed_.OnEvacuations({ 6, {} });
+  REQUIRE(
+    client.WaitFor([&] { return client.evacuations_.back().revision_ == 6; }));
+}
+
+TEST_CASE("feed: a source that has just restarted states no set, so a client "
+          "waits for one that has")
+{
+  Source restarted("control-1", "zone-a", Now() - seconds(60), 0, {});
+  restarted.feed_.OnDocument(DocumentVersion(1), SharedText("routes"));
+  Client client({ restarted.Endpoint() });
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 1; }));
+  std::this_thread::sleep_for(FeedClientSettings{}.startTimeout_ +
+                              milliseconds(200));
+  CHECK_FALSE(client.RunOnWorker([&] { return client.feed_.IsReady(Now()); }));
+  CHECK(client.RunOnWorker([&] { return client.evacuations_.empty(); }));
+  restarted.feed_.OnEvacuations({ 1, {} });
+  CHECK(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+}
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -61,12 +61,14 @@
   void Announce(const char* aId,
                 const char* aService,
                 const std::string& aAddress,
-                ServerPhase aPhase = ServerPhase::Ready)
+                ServerPhase aPhase = ServerPhase::Ready,
+                const char* aZone = "")
   {
     ServerAnnouncement announcement;
     announcement.id_ = BackendId(aId);
     announcement.service_ = ServiceName(aService);
     announcement.address_ = aAddress;
+    announcement.zone_ = ZoneName(aZone);
     announcement.slots_ = 3;
     announcement.phase_ = aPhase;
     announcement.startedAtMs_ = 1;
@@ -77,6 +79,11 @@
     });
   }
 
+  void SetEvacuatedZones(std::set<ZoneName> aZones)
+  {
+    RunOnGatewayThread([&] { gateway_.SetEvacuatedZones(aZones, Now()); });
+  }
+
   TcpEndpoint Endpoint() const
   {
     return { boost::asio::ip::make_address("127.0.0.1"), callers_.Port() };
--- /dev/null
+++ b/tests/system/evacuation_test.py
@@ -0,0 +1,110 @@
+"""Evacuations of a zone that a control instance has acknowledged hold after the
+loss of that instance, of all control instances and of all processes."""
+
+import argparse
+import asyncio
+import os
+import shutil
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+import departure_test  # noqa: E402
+from departure_test import CALL_FAILURES, SERVICE, Deployment  # noqa: E402
+from departure_test import Fleet, call, claim_number, wire  # noqa: E402
+
+EVACUATE_S = 5.0
+OBSERVED_S = 2.0
+RESTART_S = 3.0
+ZONE = "b"
+LOSSES = ["none", "leader", "controls", "all"]
+
+
+class EvacuationTest(unittest.TestCase):
+    def test_acknowledged_evacuations_outlive_losses(self):
+        # A restarted process that lacks the evacuation would use the zone.
+        folder = tempfile.mkdtemp(prefix="foxtail-evacuation-")
+        number, holder = claim_number()
+        fleet = Fleet(departure_test.BUILD, folder, entries=2, number=number)
+        try:
+            asyncio.run(self.play(fleet))
+        finally:
+            fleet.stop()
+            holder.close()
+            shutil.rmtree(folder)
+
+    async def play(self, fleet):
+        deployment = Deployment(fleet)
+        await deployment.start()
+        try:
+            server = await deployment.world.add_server(SERVICE, ZONE)
+            await self.check_unknown_zone(deployment)
+            for loss in LOSSES:
+                with self.subTest(loss):
+                    await self.check(deployment, server, loss)
+        finally:
+            await deployment.stop()
+
+    async def order(self, deployment, name, first):
+        """Sends an order by turns to the control instances, as operators do."""
+        controls = deployment.fleet.controls
+        for attempt in range(40):
+            machine = controls[(first + attempt) % len(controls)]
+            try:
+                status, _, _ = await call(
+                    f"{machine.address}:{wire.CONTROL_PORT}", "POST",
+                    f"/Evacuation.{name}/{ZONE}")
+            except CALL_FAILURES:
+                status = 0
+            if status == 200:
+                return machine
+            await asyncio.sleep(0.25)
+        raise AssertionError(f"{name}: no control instance acknowledged")
+
+    async def check_unknown_zone(self, deployment):
+        machine = deployment.fleet.controls[0]
+        status, _, body = await call(
+            f"{machine.address}:{wire.CONTROL_PORT}", "POST",
+            "/Evacuation.Start/nowhere")
+        self.assertEqual(status, 404)
+        self.assertIn(b"a, b, c", body)
+
+    async def check(self, deployment, server, loss):
+        at = deployment.world.now()
+        await deployment.wait_until(lambda: deployment.runs_at(server, at),
+                                    f"{loss}: the server is not used")
+        receiver = await self.order(deployment, "Start", LOSSES.index(loss))
+        acknowledged = deployment.world.now()
+        lost = {"none": [], "leader": [await deployment.find_leader()],
+                "controls": deployment.fleet.controls,
+                "all": deployment.fleet.machines}[loss]
+        for machine in lost:
+            machine.kill()
+        for machine in lost:
+            machine.start()
+        await asyncio.sleep(EVACUATE_S)
+        if lost:
+            await asyncio.sleep(RESTART_S)
+        since = deployment.world.now()
+        await asyncio.sleep(OBSERVED_S)
+        late = [run.at - acknowledged for run in deployment.runs_at(
+            server, acknowledged + EVACUATE_S)]
+        self.assertEqual(late, [], f"acknowledged by {receiver.name}")
+        statuses = [status for when, status in deployment.answers
+                    if when > since]
+        self.assertGreater(len(statuses), 20)
+        self.assertEqual(set(statuses), {200})
+        await self.order(deployment, "Finish", LOSSES.index(loss) + 1)
+        ended = deployment.world.now()
+        await deployment.wait_until(lambda: deployment.runs_at(server, ended),
+                                    f"{loss}: the server is not used again")
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    options, rest = parser.parse_known_args()
+    departure_test.BUILD = options.build
+    unittest.main(argv=[sys.argv[0], *rest])
