--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -161,6 +161,16 @@
   };
 }
 
+boost::json::value EvacuationsBody(const std::set<ZoneName>& aZones,
+                                   uint64_t aRevision)
+{
+  boost::json::array zones;
+  for (const ZoneName& zone : aZones) {
+    zones.emplace_back(zone.Value());
+  }
+  return { { "zones", std::move(zones) }, { "revision", aRevision } };
+}
+
 } // namespace
 
 AdminApi::AdminApi(ReplicatedControl& aControl,
@@ -207,6 +217,12 @@
   if (path == "/v1/status" && isGet) {
     co_return co_await GetStatus();
   }
+  if (path == "/v1/evacuations" && isGet) {
+    co_return co_await GetEvacuations();
+  }
+  if (path == "/v1/evacuations" && isPost) {
+    co_return co_await PostEvacuation(aRequest);
+  }
   if (path == "/v1/members" && isPost) {
     co_return co_await PostMembers(aRequest);
   }
@@ -418,6 +434,79 @@
   co_return MakeResponse(HttpStatus::ok, status);
 }
 
+boost::asio::awaitable<HttpResponse> AdminApi::GetEvacuations()
+{
+  auto visit = [](const ControlState& aState) {
+    return aState.Evacuations().GetRows();
+  };
+  auto reading = control_.Read(std::move(visit), kQuorumTimeout);
+  const auto rows = co_await std::move(reading);
+  if (!rows.ok()) {
+    co_return co_await FailureResponse(rows.status());
+  }
+  co_return MakeResponse(HttpStatus::ok,
+                         EvacuationsBody(rows->zones_, rows->revision_));
+}
+
+boost::asio::awaitable<HttpResponse> AdminApi::PostEvacuation(
+  const HttpRequest& aRequest)
+{
+  const auto authenticated =
+    access_.Authenticate(HeaderOf(aRequest, "Authorization"));
+  if (!authenticated.ok()) {
+    co_return ErrorResponse(HttpStatus::unauthorized,
+                            MessageOf(authenticated.status()));
+  }
+  if ((*authenticated)->role_ != OperatorRole::All) {
+    co_return ErrorResponse(
+      HttpStatus::forbidden,
+      "only operators with the role \"all\" may begin or end an evacuation");
+  }
+  const auto body =
+    ParseJson(aRequest.body(), "the order", ErrorKind::InvalidRequest);
+  if (!body.ok()) {
+    co_return ErrorResponse(HttpStatus::bad_request, MessageOf(body.status()));
+  }
+  JsonFaults faults;
+  JsonReader reader(*body, "", faults);
+  const ZoneName zone(reader.RequiredString("zone"));
+  const bool isEvacuated = reader.Bool("evacuated", true);
+  reader.Finish();
+  if (!faults.IsEmpty()) {
+    co_return FaultsResponse("the order is refused", faults);
+  }
+  auto visit = [](const ControlState& aState) {
+    return aState.Evacuations().GetRows().orders_;
+  };
+  auto reading = control_.Read(std::move(visit), kQuorumTimeout);
+  const auto knownOrders = co_await std::move(reading);
+  if (!knownOrders.ok()) {
+    co_return co_await FailureResponse(knownOrders.status());
+  }
+  auto submission = control_.Submit(
+    SetEvacuation{ zone, isEvacuated, *knownOrders }, kQuorumTimeout);
+  const auto result = co_await std::move(submission);
+  LogLine(LogLevel::Info, "evacuation_ordered")
+    .Add("operator", (*authenticated)->name_)
+    .Add("zone", zone)
+    .Add("evacuated", isEvacuated)
+    .Add("result", result.status());
+  if (!result.ok()) {
+    co_return co_await FailureResponse(result.status());
+  }
+  const auto& evacuation = std::get<EvacuationResult>(*result);
+  if (!evacuation.isApplied_) {
+    co_return ErrorResponse(
+      HttpStatus::conflict,
+      "another order was applied first; read the evacuations and send the "
+      "order again if it is still wanted");
+  }
+  co_return MakeResponse(HttpStatus::ok,
+                         { { "zone", zone.Value() },
+                           { "evacuated", isEvacuated },
+                           { "revision", evacuation.revision_ } });
+}
+
 boost::asio::awaitable<HttpResponse> AdminApi::PostMembers(
   const HttpRequest& aRequest)
 {
--- a/src/control/AdminApi.h
+++ b/src/control/AdminApi.h
@@ -46,6 +46,9 @@
   /// programs that sign operators in.
   HttpResponse GetOperator(const HttpRequest& aRequest) const;
   boost::asio::awaitable<HttpResponse> GetStatus();
+  boost::asio::awaitable<HttpResponse> GetEvacuations();
+  boost::asio::awaitable<HttpResponse> PostEvacuation(
+    const HttpRequest& aRequest);
   boost::asio::awaitable<HttpResponse> PostMembers(const HttpRequest& aRequest);
   boost::asio::awaitable<absl::StatusOr<CurrentDocument>> ReadCurrent(
     ChangeId aId);
--- a/src/operator/AdminClient.cpp
+++ b/src/operator/AdminClient.cpp
@@ -217,6 +217,19 @@
   co_return std::move(sent.reply_);
 }
 
+asio::awaitable<absl::StatusOr<AdminReply>>
+AdminClient::Evacuate(std::string aZone, bool aIsEvacuated, std::string aToken)
+{
+  boost::json::object body;
+  body["zone"] = aZone;
+  body["evacuated"] = aIsEvacuated;
+  Sent sent = co_await Send(verb::post,
+                            "/v1/evacuations",
+                            std::move(aToken),
+                            boost::json::serialize(body));
+  co_return std::move(sent.reply_);
+}
+
 asio::awaitable<ApplyResult> AdminClient::Apply(ApplyRequest aRequest,
                                                 std::string aToken)
 {
--- a/src/operator/AdminClient.h
+++ b/src/operator/AdminClient.h
@@ -108,6 +108,13 @@
   boost::asio::awaitable<ApplyResult> Apply(ApplyRequest aRequest,
                                             std::string aToken);
 
+  /// Orders the begin or the end of the evacuation of a zone, which may be
+  /// repeated without a further effect.
+  ///
+  /// @return like Get().
+  boost::asio::awaitable<absl::StatusOr<AdminReply>>
+  Evacuate(std::string aZone, bool aIsEvacuated, std::string aToken);
+
 private:
   /// What became of a request to all control instances.
   struct Sent
--- a/src/operator/ConsolePages.cpp
+++ b/src/operator/ConsolePages.cpp
@@ -56,6 +56,7 @@
   aHtml.Element("a", "Review and apply", { { "href", "/review" } });
   aHtml.Element("a", "History", { { "href", "/history" } });
   aHtml.Element("a", "Status", { { "href", "/status" } });
+  aHtml.Element("a", "Evacuations", { { "href", "/evacuations" } });
   aHtml.Element("a", "As JSON", { { "href", "/document.json" } });
   WriteButton(aHtml, aSession, "/logout", "Sign out");
   aHtml.Close("nav");
@@ -437,6 +438,39 @@
   return EndPage(html);
 }
 
+std::string EvacuationsPage(const ConsoleSession& aSession,
+                            const boost::json::value& aEvacuations,
+                            std::string_view aMessage)
+{
+  HtmlWriter html;
+  BeginPage(html, "Evacuations");
+  WriteMenu(html, aSession);
+  WriteMessage(html, aMessage);
+  html.Element("p", "Servers of these zones receive no requests.");
+  html.Open("table");
+  const auto* object = aEvacuations.if_object();
+  const auto* list = object == nullptr ? nullptr : object->if_contains("zones");
+  const auto* zones = list == nullptr ? nullptr : list->if_array();
+  for (size_t i = 0; zones != nullptr && i < zones->size(); ++i) {
+    const std::string zone = ReadableValue((*zones)[i]);
+    html.Open("tr").Element("td", zone).Open("td");
+    html.Open("form", { { "method", "post" }, { "action", "/evacuations" } });
+    WriteKey(html, aSession);
+    WriteHidden(html, "zone", zone);
+    html.Element("button", "End", { { "name", "action" }, { "value", "end" } });
+    html.Close("form").Close("td").Close("tr");
+  }
+  html.Close("table");
+  html.Open("form", { { "method", "post" }, { "action", "/evacuations" } });
+  WriteKey(html, aSession);
+  html.Element("label", "Zone", { { "for", "zone" } });
+  html.Open("input", { { "id", "zone" }, { "name", "zone" } });
+  html.Element(
+    "button", "Begin", { { "name", "action" }, { "value", "begin" } });
+  html.Close("form");
+  return EndPage(html);
+}
+
 std::string MessagePage(std::string_view aTitle, std::string_view aMessage)
 {
   HtmlWriter html;
--- a/src/operator/ConsolePages.h
+++ b/src/operator/ConsolePages.h
@@ -45,6 +45,10 @@
                         const boost::json::value& aChanges);
 std::string StatusPage(const ConsoleSession& aSession,
                        const boost::json::value& aStatus);
+/// @param aEvacuations body of the API's evacuations.
+std::string EvacuationsPage(const ConsoleSession& aSession,
+                            const boost::json::value& aEvacuations,
+                            std::string_view aMessage);
 std::string MessagePage(std::string_view aTitle, std::string_view aMessage);
 
 /// @return the style sheet that the pages name.
--- a/src/operator/ConsoleService.cpp
+++ b/src/operator/ConsoleService.cpp
@@ -332,6 +332,9 @@
   if (path == "/status") {
     co_return co_await ShowFromApi(aSession, "/v1/status");
   }
+  if (path == "/evacuations") {
+    co_return co_await ShowEvacuations(aSession, {});
+  }
   if (const auto status = co_await Load(aSession); !status.ok()) {
     co_return Fault(HttpStatus::service_unavailable,
                     std::string(status.message()));
@@ -369,6 +372,10 @@
     aSession->draft_ = {};
     co_return Redirect("/");
   }
+  if (aPath == "/evacuations") {
+    co_return co_await OrderEvacuation(
+      aSession, aForm.Get("zone"), aForm.Get("action") == "begin");
+  }
   if (!aSession->draft_.isLoaded_) {
     co_return Fault(HttpStatus::conflict,
                     "There is no draft; open the document first.");
@@ -399,6 +406,45 @@
                    : HistoryPage(*aSession, reply->body_));
 }
 
+asio::awaitable<HttpResponse> ConsoleService::ShowEvacuations(
+  Session aSession,
+  std::string aMessage)
+{
+  std::string target = "/v1/evacuations";
+  auto reading = admin_.Get(std::move(target), aSession->token_);
+  const auto reply = co_await std::move(reading);
+  if (!reply.ok() || reply->status_ != kOk) {
+    co_return Fault(HttpStatus::service_unavailable,
+                    "No control instance answers this now; try again.");
+  }
+  co_return Page(HttpStatus::ok,
+                 EvacuationsPage(*aSession, reply->body_, aMessage));
+}
+
+asio::awaitable<HttpResponse> ConsoleService::OrderEvacuation(Session aSession,
+                                                              std::string aZone,
+                                                              bool aIsEvacuated)
+{
+  auto order = admin_.Evacuate(aZone, aIsEvacuated, aSession->token_);
+  const auto reply = co_await std::move(order);
+  std::string message = "The order is accepted.";
+  if (!reply.ok()) {
+    message = std::string(reply.status().message());
+  } else if (reply->status_ != kOk) {
+    const auto* object = reply->body_.if_object();
+    const auto* error =
+      object == nullptr ? nullptr : object->if_contains("error");
+    message =
+      "The order is not confirmed" +
+      (error == nullptr ? std::string(".") : ": " + ReadableValue(*error));
+  }
+  LogLine(LogLevel::Info, "console_evacuation")
+    .Add("zone", aZone)
+    .Add("evacuated", aIsEvacuated)
+    .Add("status", reply.ok() ? reply->status_ : 0U);
+  co_return co_await ShowEvacuations(aSession, std::move(message));
+}
+
 HttpResponse ConsoleService::ShowRow(const Session& aSession,
                                      const FormData& aQuery)
 {
--- a/src/operator/ConsoleService.h
+++ b/src/operator/ConsoleService.h
@@ -54,6 +54,11 @@
   boost::asio::awaitable<HttpResponse> CarryOver(Session aSession);
   boost::asio::awaitable<HttpResponse> ShowFromApi(Session aSession,
                                                    std::string aTarget);
+  boost::asio::awaitable<HttpResponse> ShowEvacuations(Session aSession,
+                                                       std::string aMessage);
+  boost::asio::awaitable<HttpResponse> OrderEvacuation(Session aSession,
+                                                       std::string aZone,
+                                                       bool aIsEvacuated);
   HttpResponse ShowRow(const Session& aSession, const FormData& aQuery);
   HttpResponse SaveRow(const Session& aSession, const FormData& aForm);
   HttpResponse Review(const Session& aSession);
--- a/src/operator/Ctl.cpp
+++ b/src/operator/Ctl.cpp
@@ -28,11 +28,15 @@
   "  apply FILE             send a document, as printed by get and edited\n"
   "  history                list accepted changes\n"
   "  status                 show the control instances\n"
+  "  evacuations            list the evacuated zones\n"
+  "  evacuate ZONE          begin the evacuation of a zone\n"
+  "  end-evacuation ZONE    end the evacuation of a zone\n"
   "  coverage SERVICE       query a service and show what the answer covers\n"
   "  token NAME             make an operator's token and its settings\n"
   "The token is read from the environment, FOXTAIL_TOKEN.\n"
   "Exit status: 0 done, 1 refused or failed, 2 wrong usage, 3 conflict,\n"
-  "4 not run, 5 unknown (repeat with the same --change-id)";
+  "4 not run, 5 unknown (repeat with the same --change-id; an order to\n"
+  "evacuate may be repeated as it is)";
 
 struct CtlOptions
 {
@@ -289,6 +293,28 @@
     return Report(RunBlocking(client_.Apply(std::move(request), token_)));
   }
 
+  int Evacuate(const std::string& aZone, bool aIsEvacuated)
+  {
+    constexpr unsigned kConflict = 409;
+    constexpr unsigned kUnavailable = 503;
+    const auto reply =
+      RunBlocking(client_.Evacuate(aZone, aIsEvacuated, token_));
+    if (!reply.ok()) {
+      return Fail(reply.status());
+    }
+    if (reply->status_ == 200) {
+      std::printf("the evacuation of %s has %s\n",
+                  aZone.c_str(),
+                  aIsEvacuated ? "begun" : "ended");
+      return Exit(CtlExit::Ok);
+    }
+    const int failed = Fail(ErrorOf(*reply));
+    if (reply->status_ == kConflict) {
+      return Exit(CtlExit::Conflict);
+    }
+    return reply->status_ == kUnavailable ? Exit(CtlExit::Unknown) : failed;
+  }
+
 private:
   static absl::Status ErrorOf(const AdminReply& aReply)
   {
@@ -440,13 +466,19 @@
   if (command == "status") {
     return commands.Print("/v1/status");
   }
+  if (command == "evacuations") {
+    return commands.Print("/v1/evacuations");
+  }
   if (command == "history") {
     const auto from = ToNumber(aOptions.from_.empty() ? "0" : aOptions.from_);
     return from ? commands.Print("/v1/history?from=" + std::to_string(*from))
                 : Usage("--from is no version; give a number");
   }
   if (aArguments.size() < 2) {
-    return Usage("the command needs a FILE, or is not known");
+    return Usage("the command needs a FILE or a ZONE, or is not known");
+  }
+  if (command == "evacuate" || command == "end-evacuation") {
+    return commands.Evacuate(aArguments[1], command == "evacuate");
   }
   if (command == "check") {
     return commands.Check(aArguments[1]);
--- a/tests/operator/ConsoleTest.cpp
+++ b/tests/operator/ConsoleTest.cpp
@@ -357,6 +357,30 @@
   CHECK(document.at_pointer("/services/1/deadline_ms") == 777);
 }
 
+TEST_CASE("console: evacuations begin, are shown and end, and an order that is "
+          "not confirmed is not shown as done")
+{
+  FakeAdmin admin;
+  Browser browser(admin);
+  browser.SignIn();
+  const std::string zone = "zone=" + Encode(kHostile);
+  CHECK_FALSE(Contains(browser.Get("/evacuations"), "value=\"end\""));
+  const auto begun =
+    browser.PostWithKey("/evacuations", zone + "&action=begin");
+  CHECK(Contains(begun, "The order is accepted."));
+  CHECK(Contains(begun, EscapeHtml(kHostile)));
+  CHECK_FALSE(Contains(begun, kHostile));
+  CHECK(browser.Post("/evacuations", zone + "&action=end").result() ==
+        HttpStatus::forbidden);
+  admin.SetFault(FakeFault::Unknown);
+  const auto lost = browser.PostWithKey("/evacuations", zone + "&action=end");
+  CHECK(Contains(lost, "not confirmed: no quorum"));
+  CHECK(Contains(lost, "value=\"end\""));
+  admin.SetFault(FakeFault::None);
+  const auto ended = browser.PostWithKey("/evacuations", zone + "&action=end");
+  CHECK_FALSE(Contains(ended, "value=\"end\""));
+}
+
 TEST_CASE("console: a change whose answer was lost is sent again as the same")
 {
   FakeAdmin admin;
--- a/tests/operator/FakeAdmin.h
+++ b/tests/operator/FakeAdmin.h
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace foxtail {
@@ -129,6 +130,9 @@
     if (path == "/v1/status") {
       return Json(200, { { "instance", "control-1" }, { "role", "leader" } });
     }
+    if (path == "/v1/evacuations") {
+      return Evacuations(aRequest);
+    }
     if (aRequest.method() == boost::beast::http::verb::get) {
       return Json(200, { { "version", version_ }, { "document", document_ } });
     }
@@ -149,6 +153,25 @@
     return Change(body, aIsLate);
   }
 
+  HttpResponse Evacuations(const HttpRequest& aRequest)
+  {
+    if (aRequest.method() == boost::beast::http::verb::get) {
+      boost::json::array zones(evacuated_.begin(), evacuated_.end());
+      return Json(200, { { "zones", zones }, { "revision", 1 } });
+    }
+    if (fault_ == FakeFault::Unknown) {
+      return Json(503, { { "outcome", "unknown" }, { "error", "no quorum" } });
+    }
+    const auto body = boost::json::parse(aRequest.body());
+    const std::string zone(body.at("zone").as_string());
+    if (body.at("evacuated").as_bool()) {
+      evacuated_.insert(zone);
+    } else {
+      evacuated_.erase(zone);
+    }
+    return Json(200, { { "zone", zone }, { "revision", 1 } });
+  }
+
   HttpResponse Change(const boost::json::value& aBody, bool& aIsLate)
   {
     if (fault_ == FakeFault::NotRun || fault_ == FakeFault::Unknown) {
@@ -180,6 +203,7 @@
   boost::json::value document_;
   uint64_t version_ = 0;
   int requests_ = 0;
+  std::set<std::string> evacuated_;
   std::map<std::string, std::pair<unsigned, boost::json::value>> results_;
 };
 
--- a/tests/system/console_test.py
+++ b/tests/system/console_test.py
@@ -85,6 +85,35 @@
         wait_until(console.is_ready, 10, "the console")
         return console
 
+    def test_evacuations_by_command_and_console(self):
+        # The order must be in the log: it is read back after a restart of all.
+        def zones():
+            answer = self.ctl("evacuations")
+            return json.loads(answer.stdout) if not answer.returncode else None
+
+        self.assertEqual({"zones": [], "revision": 0}, zones())
+        self.assertEqual(0, self.ctl("evacuate", "south-b").returncode)
+        self.assertEqual(0, self.ctl("evacuate", "south-b").returncode)
+        self.assertEqual(1, self.ctl("evacuate", "south-c",
+                                     token="ada.wrong").returncode)
+        self.assertEqual(1, self.ctl("evacuate", "south-c",
+                                     token=TEAM_TOKEN).returncode)
+        self.assertEqual(2, self.ctl("evacuate").returncode)
+        browser = Browser(self.console().address)
+        browser.send("POST", "/login", {"token": TOKEN})
+        self.assertIn("south-b", browser.send("GET", "/evacuations")[1])
+        page = browser.post("/evacuations", zone="south-a", action="begin")[1]
+        self.assertIn("The order is accepted.", page)
+        for control in self.group:
+            control.kill()
+        for control in self.group:
+            control.start()
+        wait_until(zones, 20, "the group serves again")
+        self.assertEqual({"zones": ["south-a", "south-b"], "revision": 2},
+                         zones())
+        self.assertEqual(0, self.ctl("end-evacuation", "south-b").returncode)
+        self.assertEqual({"zones": ["south-a"], "revision": 3}, zones())
+
     def test_forms_make_the_accepted_document(self):
         browser = Browser(self.console().address)
         self.assertEqual(403, browser.send("POST", "/login",
