--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -79,6 +79,7 @@
   void OnFeedQuarantines(const std::vector<RequestQuarantine>& aQuarantines,
                          TimePoint aNow) override;
   std::vector<RequestQuarantine> QuarantinesInForce(TimePoint aNow) override;
+  void OnFeedEvacuations(const EvacuatedZones& aZones, TimePoint aNow) override;
   void OnFeedEntryCount(uint32_t aEntryCount,
                         bool aIsComplete,
                         TimePoint aNow) override;
@@ -105,10 +106,12 @@
   std::atomic<bool> isReady_{ false };
   /// Version of the last document that was readable.
   DocumentVersion documentInForce_;
+  bool hasEvacuations_ = false;
   bool wasReady_ = false;
   bool wasFollowing_ = false;
   prometheus::Gauge& versionGauge_;
   prometheus::Gauge& serversGauge_;
+  prometheus::Gauge& evacuatedZonesGauge_;
   prometheus::Gauge& sourcesGauge_;
   prometheus::Gauge& droppedLinesGauge_;
 };
--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -69,10 +69,22 @@
       Add(announcement, aNow);
     } else {
       found->second->Update(announcement, aNow);
+      found->second->SetEvacuated(evacuatedZones_.contains(announcement.zone_),
+                                  aNow);
     }
   }
 }
 
+void BackendPoolSet::SetEvacuatedZones(std::set<ZoneName> aZones,
+                                       TimePoint aNow)
+{
+  evacuatedZones_ = std::move(aZones);
+  for (const auto& [id, pool] : byId_) {
+    pool->SetEvacuated(evacuatedZones_.contains(pool->Announcement().zone_),
+                       aNow);
+  }
+}
+
 void BackendPoolSet::DistributeConnections(const RouteTable& aTable,
                                            uint32_t aInstances,
                                            TimePoint aNow)
@@ -255,6 +267,7 @@
                             : maxConnections->second);
   pool->SetInstances(instances_, aNow);
   pool->SetColdRate(ColdRateOf(aAnnouncement.service_), aNow);
+  pool->SetEvacuated(evacuatedZones_.contains(aAnnouncement.zone_), aNow);
   byService_[aAnnouncement.service_].push_back(pool);
   byId_[aAnnouncement.id_] = std::move(pool);
 }
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -41,6 +41,9 @@
   /// their address or service.
   void Update(const ServerDirectory& aDirectory, TimePoint aNow);
 
+  /// Sets the zones whose servers accept no requests.
+  void SetEvacuatedZones(std::set<ZoneName> aZones, TimePoint aNow);
+
   /// Applies a document: sets the limits on this instance's connections to each
   /// server, the rates that cold servers tolerate, and whether the document has
   /// teams.
@@ -146,6 +149,7 @@
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
   /// Rates that cold servers tolerate, where the document states one.
   std::unordered_map<ServiceName, double> coldRateByService_;
+  std::set<ZoneName> evacuatedZones_;
   uint32_t instances_ = 1;
 };
 
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -89,6 +89,9 @@
     maxConnections_ = aMaxConnections;
   }
 
+  /// @param aIsEvacuated whether the server's zone is evacuated.
+  void SetEvacuated(bool aIsEvacuated, TimePoint aNow);
+
   /// @param aInstances instances that share the server's rate limit and its
   /// pace while it is cold, at least 1.
   void SetInstances(uint32_t aInstances, TimePoint aNow)
@@ -152,7 +155,7 @@
   ReplicaCandidate State(TimePoint aNow) const;
   bool AcceptsRequests() const
   {
-    return !isRetired_ && !isLeaving_ &&
+    return !isRetired_ && !isLeaving_ && !isEvacuated_ &&
            announcement_.phase_ == ServerPhase::Ready;
   }
   const ServerAnnouncement& Announcement() const { return announcement_; }
@@ -214,6 +217,7 @@
   /// Whether a reply has stated that the process is leaving; never reset, as
   /// another process has another pool.
   bool isLeaving_ = false;
+  bool isEvacuated_ = false;
 
   std::vector<std::shared_ptr<ServerConnection>> connections_;
   /// Most recently used last.
@@ -237,6 +241,7 @@
   TimePoint announcedColdUntil_{};
   TimePoint statedColdUntil_{};
   bool wasCold_ = false;
+  /// When the server began to drain or its zone was evacuated.
   TimePoint drainingSince_{};
   TimePoint unreachableUntil_{};
   milliseconds unreachableBackoff_{ 0 };
--- a/src/forward/SingleRequestHandler.cpp
+++ b/src/forward/SingleRequestHandler.cpp
@@ -63,9 +63,11 @@
              " limit the rate of requests; come back after the time that is "
              "stated";
   } else {
-    reason = "no backend server of the service " + service +
-             std::string(OnNoServer()) +
-             " accepts requests; try again, and check its announcements";
+    reason =
+      "no backend server of the service " + service +
+      std::string(OnNoServer()) +
+      " accepts requests; try again, and check its announcements and the "
+      "evacuated zones";
   }
   return RefusalAnswer(reason, earliest, refusedUntil, aNow);
 }
--- a/tests/forward/ForwardFixture.h
+++ b/tests/forward/ForwardFixture.h
@@ -80,6 +80,11 @@
     });
   }
 
+  void SetEvacuatedZones(std::set<ZoneName> aZones)
+  {
+    RunOnGatewayThread([&] { gateway_.SetEvacuatedZones(aZones, Now()); });
+  }
+
   TcpEndpoint Endpoint() const
   {
     return { boost::asio::ip::make_address("127.0.0.1"), callers_.Port() };
