Client limits: a byte budget for peers, and eviction of the slowest connections

Cause: nothing bounded what all clients of a process hold together. 400 clients with legal bodies, oversized bodies or many short header fields took an entry instance from 12 MB to 185 MB and a control instance to 528 MB, which they kept.

Change: - ByteBudget: bytes held for peers (connection, buffers, header fields, bodies, answers), charged before each read; a quarter of limits.memory_mb for all HTTP ports of a platform process, max_peer_bytes (64 MiB) a listener elsewhere. - ConnectionEviction: when bytes or connections are short, connections that wait for their peer are closed, those with the least recent progress first; a request that has not arrived gets 503, not run. - HeaderCost: the parser allocates 80 bytes for a field of 4 bytes, and takes fields from the buffer before the header is complete, so both are counted. - Bodies that are not used (no route, readiness, metrics, calls without a body) are discarded while they arrive; the answer follows as before. Announcements are bounded at 16 KiB by their header. - Time limit for writing an answer; connections by limits.max_fds; pipelined bytes 16 KiB; unused memory is returned after a crowd. - Counters, log events, pages for operators and design.

The cost of the request path is not measured yet.

--- a/src/forward/CallerConnection.cpp
+++ b/src/forward/CallerConnection.cpp
@@ -4,6 +4,7 @@
 #include "forward/HopByHop.h"
 #include "forward/RequestFingerprint.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -20,23 +21,42 @@
 
 constexpr size_t kReadBytes = 4096;
 /// Maximum buffered bytes of pipelined requests while one is in progress.
-constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr size_t kMaxPipelinedBytes = 16 * 1024;
+/// Memory that an open connection holds in any case.
+constexpr size_t kConnectionBytes = 2048;
+/// Capacity of the buffers that an idle connection keeps.
+constexpr size_t kKeptBytes = 8 * 1024;
 /// Time in which the first request of a new connection arrives: several round
 /// trips between regions.
 constexpr milliseconds kFirstRequestTime{ 200 };
 /// Longest time limit that a caller may state.
 constexpr milliseconds kMaxDeadline{ 600000 };
 
+/// @return the capacity of @p aBuffer once it has room for the next read. Its
+/// growth doubles what it holds.
+size_t CapacityAfterRead(const boost::beast::flat_buffer& aBuffer)
+{
+  return std::max(
+    { aBuffer.capacity(), 2 * aBuffer.size(), aBuffer.size() + kReadBytes });
+}
+
 std::string_view ToView(boost::beast::string_view aText)
 {
   return { aText.data(), aText.size() };
 }
 
+std::string_view ToView(const boost::beast::flat_buffer& aBuffer)
+{
+  const auto bytes = aBuffer.data();
+  return { static_cast<const char*>(bytes.data()), bytes.size() };
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(Socket aSocket, CallerPort& aPort)
   : socket_(std::move(aSocket))
   , port_(aPort)
+  , charge_(aPort.settings_.peerBytes_)
 {
 }
 
@@ -57,9 +77,63 @@
     Close();
   } else if (phase_ == Phase::Reading &&
              aNow - phaseSince_ > aLimits.headerTimeout_) {
+    port_.slowRequests_.Increment();
     Refuse(static_cast<unsigned>(http::status::request_timeout),
            "the request took too long to arrive; send it at once");
+  } else if (phase_ == Phase::Writing) {
+    const milliseconds extension(output_.size() * 1000 /
+                                 port_.settings_.minWriteBytesPerSecond_);
+    if (aNow - phaseSince_ > port_.settings_.writeTimeout_ + extension) {
+      port_.slowReaders_.Increment();
+      LogLine(LogLevel::Info, "answer_read_too_slowly")
+        .Add("bytes", output_.size());
+      Close();
+    }
+  }
+}
+
+void CallerConnection::Evict()
+{
+  if (phase_ != Phase::Reading) {
+    Close();
+    return;
+  }
+  Refuse(static_cast<unsigned>(http::status::service_unavailable),
+         "this instance is short of memory and closes the slowest connections; "
+         "send the request at once, on a new connection");
+}
+
+ConnectionProgress CallerConnection::Progress(size_t aIndex,
+                                              TimePoint aNow) const
+{
+  return { aIndex,
+           charge_.Bytes(),
+           progress_.Bytes(aNow),
+           phaseSince_,
+           phase_ == Phase::Running };
+}
+
+size_t CallerConnection::HeldBytes() const
+{
+  return kConnectionBytes + CapacityAfterRead(buffer_) + requestBytes_ +
+         output_.capacity();
+}
+
+bool CallerConnection::Reserve(TimePoint aNow)
+{
+  if (port_.Reserve(*this, HeldBytes(), aNow)) {
+    return true;
+  }
+  if (phase_ == Phase::Running || phase_ == Phase::Writing) {
+    return false;
   }
+  port_.budgetRefusals_.Increment();
+  if (phase_ == Phase::Idle) {
+    Close();
+  } else {
+    Evict();
+  }
+  return false;
 }
 
 void CallerConnection::CloseIfUnused(TimePoint aNow)
@@ -96,12 +170,18 @@
   parser_->header_limit(limits.maxHeaderBytes_);
   parser_->body_limit(limits.maxBodyBytes_);
   isContinueSent_ = false;
+  isHeaderChecked_ = false;
+  refusal_.reset();
+  requestBytes_ = 0;
+  headerCost_ = HeaderCost();
 }
 
 void CallerConnection::Read()
 {
-  if (isReading_ || phase_ == Phase::Closed ||
-      buffer_.size() > kMaxPipelinedBytes) {
+  const size_t maxBytes =
+    std::max<size_t>(kMaxPipelinedBytes, port_.Limits().maxHeaderBytes_);
+  if (isReading_ || phase_ == Phase::Closed || buffer_.size() > maxBytes ||
+      !Reserve(Now())) {
     return;
   }
   isReading_ = true;
@@ -124,6 +204,7 @@
     return;
   }
   buffer_.commit(aBytes);
+  progress_.Add(aBytes, now);
   if (phase_ == Phase::Idle || phase_ == Phase::Reading) {
     Parse(now);
   }
@@ -135,16 +216,8 @@
   if (phase_ == Phase::Idle && buffer_.size() > 0) {
     SetPhase(Phase::Reading, aNow);
   }
-  while (buffer_.size() > 0 && !parser_->is_done()) {
-    Error error;
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error == http::error::need_more) {
-      break;
-    }
-    if (error) {
-      OnParseError(error);
-      return;
-    }
+  if (!ParseBuffer(aNow)) {
+    return;
   }
   if (parser_->is_done()) {
     OnRequest(aNow);
@@ -161,8 +234,64 @@
   }
 }
 
+bool CallerConnection::ParseBuffer(TimePoint aNow)
+{
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    const bool isInHeader = !parser_->is_header_done();
+    if (isInHeader) {
+      headerCost_.BeforeParse(ToView(buffer_));
+      requestBytes_ = headerCost_.Bytes();
+      if (!Reserve(aNow)) {
+        return false;
+      }
+    }
+    Error error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (isInHeader) {
+      headerCost_.AfterParse(ToView(buffer_));
+    }
+    if (parser_->is_header_done()) {
+      DiscardUnusedBody(aNow);
+      const std::string& body = parser_->get().body();
+      requestBytes_ =
+        headerCost_.Bytes() +
+        (parser_->content_length() ? body.size() : body.capacity());
+    }
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      OnParseError(error);
+      return false;
+    }
+  }
+  return true;
+}
+
+void CallerConnection::DiscardUnusedBody(TimePoint aNow)
+{
+  if (!isHeaderChecked_) {
+    isHeaderChecked_ = true;
+    const auto& message = parser_->get();
+    if (!parser_->is_done()) {
+      refusal_ = port_.gateway_.RefusalWithoutRoute(
+        ToView(message[http::field::host]), ToView(message.target()), aNow);
+    }
+    if (refusal_) {
+      port_.discardedBodies_.Increment();
+    }
+  }
+  if (refusal_) {
+    std::string().swap(parser_->get().body());
+  }
+}
+
 void CallerConnection::OnParseError(const Error& aError)
 {
+  if (aError == http::error::body_limit ||
+      aError == http::error::header_limit) {
+    port_.oversizedRequests_.Increment();
+  }
   if (aError == http::error::body_limit) {
     Refuse(static_cast<unsigned>(http::status::payload_too_large),
            "the body is too large; send a smaller one");
@@ -233,6 +362,11 @@
   ++port_.requestsInFlight_;
   port_.requestsTotal_.Increment();
   ForwardRequest request = ReleaseRequest(aNow);
+  if (refusal_) {
+    const ForwardAnswer refusal = *std::exchange(refusal_, std::nullopt);
+    SendAnswer(refusal);
+    return;
+  }
   if (request.deadline_ <= aNow) {
     LogLine(LogLevel::Warning, "request_read_too_late")
       .Add("request", request.id_)
@@ -286,7 +420,11 @@
   if (!hasNoBody && !isHead_) {
     output_ += aAnswer.body_;
   }
-  SetPhase(Phase::Writing, Now());
+  requestBytes_ = 0;
+  const TimePoint now = Now();
+  SetPhase(Phase::Writing, now);
+  // The request may have run, so its answer is written in any case.
+  charge_.Resize(HeldBytes());
   Write();
 }
 
@@ -296,6 +434,8 @@
     .Add("status", aStatus)
     .Add("reason", aReason);
   mustClose_ = true;
+  // Releases what has arrived of the request.
+  StartParser();
   SetPhase(Phase::Running, Now());
   ++port_.requestsInFlight_;
   SendAnswer(MakeLocalAnswer(AnswerSource::NotRun, aStatus, aReason));
@@ -334,6 +474,12 @@
   }
   const TimePoint now = Now();
   output_.clear();
+  if (output_.capacity() > kKeptBytes) {
+    std::string().swap(output_);
+  }
+  if (buffer_.size() == 0 && !isReading_ && buffer_.capacity() > kKeptBytes) {
+    buffer_.shrink_to_fit();
+  }
   SetPhase(Phase::Idle, now);
   StartParser();
   Parse(now);
--- a/src/forward/CallerConnection.h
+++ b/src/forward/CallerConnection.h
@@ -1,6 +1,7 @@
 #ifndef FORWARD_CALLERCONNECTION_H
 #define FORWARD_CALLERCONNECTION_H
 
+#include "core/HeaderCost.h"
 #include "forward/CallerPort.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,8 +35,15 @@
   /// Refuses a request that has not arrived in full.
   void RefuseIfIncomplete();
   void Close();
+  /// Closes the connection for the sake of others: refuses a request that has
+  /// not arrived in full.
+  void Evict();
+  /// @param aIndex stored in the result.
+  ConnectionProgress Progress(size_t aIndex, TimePoint aNow) const;
 
 private:
+  friend class CallerPort;
+
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Error = boost::system::error_code;
@@ -55,6 +63,16 @@
   void Read();
   void OnRead(const Error& aError, size_t aBytes);
   void Parse(TimePoint aNow);
+  /// Passes the bytes read to the parser.
+  /// @return whether to continue.
+  bool ParseBuffer(TimePoint aNow);
+  /// Discards the body of a request without a route.
+  void DiscardUnusedBody(TimePoint aNow);
+  /// @return the bytes held for the caller, with those of the next read.
+  size_t HeldBytes() const;
+  /// Charges the bytes held for the caller.
+  /// @return false if the connection was closed or its request refused.
+  bool Reserve(TimePoint aNow);
   void OnParseError(const Error& aError);
   void OnRequest(TimePoint aNow);
   ForwardRequest ReleaseRequest(TimePoint aNow);
@@ -81,6 +99,14 @@
   bool isHead_ = false;
   std::shared_ptr<PendingRequest> handler_;
   std::string output_;
+  ByteCharge charge_;
+  RecentProgress progress_;
+  /// Bytes of the request beside those in buffer_.
+  size_t requestBytes_ = 0;
+  HeaderCost headerCost_;
+  bool isHeaderChecked_ = false;
+  /// The answer to a request whose body is not used.
+  std::optional<ForwardAnswer> refusal_;
 };
 
 } // namespace foxtail
--- a/src/forward/CallerPort.cpp
+++ b/src/forward/CallerPort.cpp
@@ -1,6 +1,7 @@
 #include "forward/CallerPort.h"
 
 #include "core/Listen.h"
+#include "core/Log.h"
 #include "core/Metrics.h"
 #include "forward/CallerConnection.h"
 
@@ -18,6 +19,9 @@
 constexpr milliseconds kStopSweepInterval{ 50 };
 /// Pause after a failed accept, for example when no file descriptor is left.
 constexpr milliseconds kAcceptPause{ 20 };
+/// Share of the budget that is freed at once when it is short, as choosing the
+/// connections to close looks at all of them.
+constexpr size_t kEvictionShare = 16;
 
 } // namespace
 
@@ -34,6 +38,25 @@
                                     "Requests read from callers"))
   , callerDisconnects_(aMetrics.Counter("foxtail_forward_callers_left_total",
                                         "Callers that left before the answer"))
+  , evictions_(aMetrics.Counter("foxtail_callers_evicted_total",
+                                "Connections closed for the sake of others"))
+  , budgetRefusals_(
+      aMetrics.Counter("foxtail_callers_refused_memory_total",
+                       "Requests refused as the byte budget was used up"))
+  , connectionRefusals_(
+      aMetrics.Counter("foxtail_callers_refused_connections_total",
+                       "New connections closed as all others were served"))
+  , slowRequests_(aMetrics.Counter("foxtail_callers_slow_requests_total",
+                                   "Requests that took too long to arrive"))
+  , slowReaders_(aMetrics.Counter("foxtail_callers_slow_readers_total",
+                                  "Answers that were read too slowly"))
+  , oversizedRequests_(aMetrics.Counter("foxtail_callers_oversized_total",
+                                        "Requests with too large a header or "
+                                        "body"))
+  , discardedBodies_(aMetrics.Counter("foxtail_callers_bodies_discarded_total",
+                                      "Bodies of requests without a route"))
+  , bytesInUse_(aMetrics.Gauge("foxtail_peer_bytes",
+                               "Bytes held for peers, within the budget"))
 {
 }
 
@@ -78,13 +101,73 @@
 
 void CallerPort::AddConnection(Socket aSocket)
 {
+  const TimePoint now = Now();
+  if (connections_.size() >= settings_.maxConnections_) {
+    Evict(0, nullptr, now);
+  }
   if (connections_.size() >= settings_.maxConnections_) {
+    connectionRefusals_.Increment();
     return;
   }
   auto connection =
     std::make_shared<CallerConnection>(std::move(aSocket), *this);
   connections_.insert(connection);
-  connection->Start(Now());
+  connection->Start(now);
+}
+
+bool CallerPort::Reserve(CallerConnection& aConnection,
+                         size_t aBytes,
+                         TimePoint aNow)
+{
+  ByteCharge& charge = aConnection.charge_;
+  if (!charge.TryResize(aBytes)) {
+    const size_t more = aBytes - charge.Bytes();
+    Evict(std::max(settings_.peerBytes_->Excess(more),
+                   settings_.peerBytes_->Limit() / kEvictionShare),
+          &aConnection,
+          aNow);
+    return charge.TryResize(aBytes);
+  }
+  return true;
+}
+
+void CallerPort::Evict(size_t aBytes,
+                       const CallerConnection* aFor,
+                       TimePoint aNow)
+{
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  std::vector<ConnectionProgress> progress;
+  connections.reserve(connections_.size());
+  progress.reserve(connections_.size());
+  for (const auto& connection : connections_) {
+    if (connection.get() != aFor) {
+      progress.push_back(connection->Progress(connections.size(), aNow));
+      connections.push_back(connection);
+    }
+  }
+  const auto chosen =
+    ConnectionEviction::Choose(std::move(progress), aBytes, aNow);
+  for (const size_t index : chosen) {
+    evictions_.Increment();
+    if (aBytes == 0) {
+      connections[index]->Close();
+    } else {
+      connections[index]->Evict();
+    }
+  }
+  if (!chosen.empty()) {
+    LogLine(LogLevel::Info, "callers_evicted")
+      .Add("connections", chosen.size())
+      .Add("reason", aBytes == 0 ? "descriptors" : "memory")
+      .Add("bytes_in_use", settings_.peerBytes_->InUse())
+      .Add("budget", settings_.peerBytes_->Limit());
+  }
+}
+
+void CallerPort::ReturnMemory()
+{
+  bytesInUse_.Set(static_cast<double>(settings_.peerBytes_->InUse()));
+  settings_.peerBytes_->ReturnUnusedMemory();
 }
 
 void CallerPort::AcceptQueued()
@@ -112,6 +195,7 @@
     for (const auto& connection : connections) {
       connection->CloseIfTimedOut(limits, Now());
     }
+    ReturnMemory();
     ScheduleSweep();
   });
 }
--- a/src/forward/CallerPort.h
+++ b/src/forward/CallerPort.h
@@ -1,6 +1,8 @@
 #ifndef FORWARD_CALLERPORT_H
 #define FORWARD_CALLERPORT_H
 
+#include "core/ByteBudget.h"
+#include "core/ConnectionEviction.h"
 #include "forward/Gateway.h"
 
 #include <absl/status/status.h>
@@ -15,9 +17,16 @@
 {
   std::string address_ = "127.0.0.1";
   uint16_t port_ = 0;
-  /// Maximum open connections; further ones are closed at once. The limit
-  /// leaves file descriptors for the connections to backend servers.
+  /// Maximum open connections. Beyond it, a connection that waits for its
+  /// caller is closed for each new one, or the new one if all are served. The
+  /// limit leaves file descriptors for the connections to backend servers.
   size_t maxConnections_ = 1500;
+  /// Time limit for writing an answer, extended by the time that the answer
+  /// takes at minWriteBytesPerSecond_.
+  milliseconds writeTimeout_{ 10000 };
+  size_t minWriteBytesPerSecond_ = size_t{ 16 } * 1024;
+  /// Budget of all bytes that the process holds for its peers.
+  std::shared_ptr<ByteBudget> peerBytes_ = std::make_shared<ByteBudget>();
 };
 
 /// Accepts callers' HTTP connections and passes their requests to a gateway.
@@ -57,6 +66,18 @@
     boost::asio::basic_stream_socket<boost::asio::ip::tcp,
                                      boost::asio::io_context::executor_type>;
 
+  /// Charges @p aBytes in all for a connection; closes others that wait for
+  /// their callers when the budget is short.
+  ///
+  /// @return whether the bytes are charged.
+  bool Reserve(CallerConnection& aConnection, size_t aBytes, TimePoint aNow);
+  /// Closes connections that wait for their callers.
+  ///
+  /// @param aBytes bytes to free; 0 to free one connection.
+  /// @param aFor the connection that they are freed for, which is kept.
+  void Evict(size_t aBytes, const CallerConnection* aFor, TimePoint aNow);
+  /// Returns freed memory to the system once a crowd has gone.
+  void ReturnMemory();
   void Accept();
   void AddConnection(Socket aSocket);
   /// Accepts the connections that wait in the listener's queue, as closing the
@@ -81,6 +102,14 @@
   bool isStopped_ = false;
   prometheus::Counter& requestsTotal_;
   prometheus::Counter& callerDisconnects_;
+  prometheus::Counter& evictions_;
+  prometheus::Counter& budgetRefusals_;
+  prometheus::Counter& connectionRefusals_;
+  prometheus::Counter& slowRequests_;
+  prometheus::Counter& slowReaders_;
+  prometheus::Counter& oversizedRequests_;
+  prometheus::Counter& discardedBodies_;
+  prometheus::Gauge& bytesInUse_;
 };
 
 } // namespace foxtail
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -253,18 +253,47 @@
   return held;
 }
 
+ForwardAnswer Gateway::NoRoutesAnswer() const
+{
+  return MakeLocalAnswer(
+    AnswerSource::NotRun,
+    kUnavailable,
+    "this instance has not received the routes yet; try again",
+    settings_.retryAfter_);
+}
+
+ForwardAnswer Gateway::NoRouteAnswer()
+{
+  constexpr unsigned kNotFound = 404;
+  return MakeLocalAnswer(
+    AnswerSource::NotRun,
+    kNotFound,
+    "no route matches this host and path; check the document");
+}
+
+std::optional<ForwardAnswer> Gateway::RefusalWithoutRoute(
+  std::string_view aHost,
+  std::string_view aTarget,
+  TimePoint aNow) const
+{
+  if (table_ != nullptr) {
+    return table_->Find(aHost, PathOf(aTarget)) == nullptr
+             ? std::make_optional(NoRouteAnswer())
+             : std::nullopt;
+  }
+  const bool isStartupOver =
+    std::holds_alternative<StartupOver>(DecideDuringStartup(
+      settings_.startupHold_, startedAt_, aNow + seconds(1), aNow));
+  return isStartupOver ? std::make_optional(NoRoutesAnswer()) : std::nullopt;
+}
+
 std::shared_ptr<PendingRequest> Gateway::BeginNow(
   ForwardRequest aRequest,
   RequestHandler::CompletionCallback aOnComplete,
   TimePoint aNow)
 {
-  constexpr unsigned kNotFound = 404;
   if (table_ == nullptr) {
-    aOnComplete(MakeLocalAnswer(
-      AnswerSource::NotRun,
-      kUnavailable,
-      "this instance has not received the routes yet; try again",
-      settings_.retryAfter_));
+    aOnComplete(NoRoutesAnswer());
     return nullptr;
   }
   ++requestCount_;
@@ -275,10 +304,7 @@
       .Add("host", aRequest.host_)
       .Add("path", PathOf(aRequest.target_))
       .Add("document", table_->Version());
-    aOnComplete(MakeLocalAnswer(
-      AnswerSource::NotRun,
-      kNotFound,
-      "no route matches this host and path; check the document"));
+    aOnComplete(NoRouteAnswer());
     return nullptr;
   }
   if (IsTooLateForStop(*route, aRequest, aNow)) {
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -57,6 +57,13 @@
     RequestHandler::CompletionCallback aOnComplete,
     TimePoint aNow);
 
+  /// @return the answer to a request that is refused whatever its body is, as
+  /// no route matches it or there are no routes after the startup; else
+  /// nothing.
+  std::optional<ForwardAnswer> RefusalWithoutRoute(std::string_view aHost,
+                                                   std::string_view aTarget,
+                                                   TimePoint aNow) const;
+
   /// Begins a planned stop: requests that begin later are refused unless they
   /// are likely to be answered by @p aAnswerBy, and all are answered by then.
   /// Those in progress are limited by their connections.
@@ -84,6 +91,9 @@
 private:
   struct HandlerFactory;
 
+  ForwardAnswer NoRoutesAnswer() const;
+  static ForwardAnswer NoRouteAnswer();
+
   /// @return whether the request's route is known and enough backend servers
   /// for a successful answer are.
   bool CanServe(const ForwardRequest& aRequest) const;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_HTTPSERVER_H
 #define HTTP_HTTPSERVER_H
 
+#include "core/ByteBudget.h"
 #include "core/JsonReader.h"
 #include "core/Time.h"
 #include "core/WorkerPool.h"
@@ -26,8 +27,14 @@
   uint32_t maxHeaderBytes_ = 16 * 1024;
   /// Maximum size of a request body, in bytes.
   uint64_t maxBodyBytes_ = 1024 * 1024;
-  /// Maximum number of open connections; further ones are closed as soon as
-  /// they are accepted.
+  /// Returns the maximum body size of a request by its header, in bytes; 0 if
+  /// the body is not used, which is then discarded. Without it, maxBodyBytes_
+  /// holds for all requests.
+  std::function<uint64_t(const HttpRequest& aHeader)> bodyLimit_;
+  /// Budget of all bytes that the process holds for its peers.
+  std::shared_ptr<ByteBudget> peerBytes_ = std::make_shared<ByteBudget>();
+  /// Maximum number of open connections. Beyond it, a connection that waits for
+  /// its peer is closed for each new one, or the new one if all are served.
   size_t maxConnections_ = 4096;
   /// Time after which a connection that is idle between requests is closed.
   milliseconds idleTimeout_{ 60000 };
@@ -75,6 +82,10 @@
   /// @return the number of requests that are being read, handled or answered.
   size_t RequestsInFlight() const;
   size_t OpenConnections() const;
+  /// @return connections closed for the sake of others, and requests refused
+  /// as the byte budget was used up.
+  size_t Evictions() const;
+  size_t BudgetRefusals() const;
 
   /// Blocks until all connections are closed or @p aTimeout has passed.
   ///
