team: the cases of access in one line each

Cause: the table of TeamAccessTest was formatted to a line for each field. Change: the flags of a case are one value; the cases are the same.

--- a/tests/team/TeamAccessTest.cpp
+++ b/tests/team/TeamAccessTest.cpp
@@ -38,150 +38,70 @@
   const TeamTable some(teams);
   const std::vector<Team> none;
   const TeamTable empty(none);
-  constexpr milliseconds kRecent{ 4999 };
-  constexpr milliseconds kLong{ 5000 };
+  enum : unsigned
+  {
+    kNoList = 1,
+    kEmptyList = 2,
+    kPublic = 4,
+    kNewer = 8,
+    /// Without contact for just less than the limit, and for the limit.
+    kRecent = 16,
+    kCutOff = 32,
+    kFailClosed = 64,
+  };
   struct Row
   {
     const char* name_;
-    const TeamTable* teams_;
-    bool isPublic_;
     const char* authorization_;
-    bool isNewerKnown_;
-    Duration sinceContact_;
-    bool refusesWithoutControl_;
+    unsigned flags_;
     const char* expected_;
   };
+  constexpr unsigned kWorst = kNewer | kCutOff | kFailClosed;
   const Row rows[] = {
-    { "no list", nullptr, false, "", true, kLong, true, "allowed" },
-    { "no list, a key",
-      nullptr,
-      false,
-      "Token x",
-      true,
-      kLong,
-      true,
-      "allowed" },
-    { "empty list",
-      &empty,
-      false,
-      "Token key-1",
-      false,
-      {},
-      false,
-      "401 unknown_key" },
-    { "empty list, public", &empty, true, "", false, {}, false, "allowed" },
-    { "key", &some, false, "Token key-1", false, {}, false, "a" },
-    { "second key", &some, false, "Token key-2", false, {}, false, "a" },
-    { "key with a space", &some, false, "Token key 3", false, {}, false, "b" },
-    { "scheme in other case",
-      &some,
-      false,
-      "tOKEN key-1",
-      false,
-      {},
-      false,
-      "a" },
-    { "more space", &some, false, " Token \t key-1 ", false, {}, false, "a" },
-    { "key in other case",
-      &some,
-      false,
-      "Token KEY-1",
-      false,
-      {},
-      false,
-      "401 unknown_key" },
-    { "unknown key",
-      &some,
-      false,
-      "Token key-9",
-      false,
-      {},
-      false,
-      "401 unknown_key" },
-    { "part of a key",
-      &some,
-      false,
-      "Token key-",
-      false,
-      {},
-      false,
-      "401 unknown_key" },
-    { "no header", &some, false, "", false, {}, false, "401 no_key" },
-    { "scheme alone", &some, false, "Token ", false, {}, false, "401 no_key" },
-    { "key alone", &some, false, "key-1", false, {}, false, "401 no_key" },
-    { "wrong scheme",
-      &some,
-      false,
-      "Bearer key-1",
-      false,
-      {},
-      false,
-      "401 no_key" },
-    { "longer scheme",
-      &some,
-      false,
-      "Tokens key-1",
-      false,
-      {},
-      false,
-      "401 no_key" },
-    { "public, key", &some, true, "Token key-1", false, {}, false, "a" },
-    { "public, no key", &some, true, "", false, {}, false, "allowed" },
-    { "public, unknown key",
-      &some,
-      true,
-      "Token x",
-      true,
-      kLong,
-      true,
-      "allowed" },
-    { "newer, unknown key",
-      &some,
-      false,
-      "Token x",
-      true,
-      {},
-      false,
-      "503 newer_document" },
-    { "newer, no key", &some, false, "", true, {}, false, "401 no_key" },
-    { "newer, known key", &some, false, "Token key-1", true, {}, false, "a" },
-    { "fail open", &some, false, "Token key-1", false, kLong, false, "a" },
-    { "fail closed",
-      &some,
-      false,
-      "Token key-1",
-      false,
-      kLong,
-      true,
-      "503 no_control" },
-    { "fail closed, no key",
-      &some,
-      false,
-      "",
-      false,
-      kLong,
-      true,
-      "503 no_control" },
-    { "fail closed, recent",
-      &some,
-      false,
-      "Token key-1",
-      false,
-      kRecent,
-      true,
-      "a" },
+    { "no list", "", kNoList | kWorst, "allowed" },
+    { "no list, a key", "Token x", kNoList | kWorst, "allowed" },
+    { "empty list", "Token key-1", kEmptyList, "401 unknown_key" },
+    { "empty list, public", "", kEmptyList | kPublic, "allowed" },
+    { "key", "Token key-1", 0, "a" },
+    { "second key", "Token key-2", 0, "a" },
+    { "key with a space", "Token key 3", 0, "b" },
+    { "scheme in other case", "tOKEN key-1", 0, "a" },
+    { "more space", " Token \t key-1 ", 0, "a" },
+    { "key in other case", "Token KEY-1", 0, "401 unknown_key" },
+    { "unknown key", "Token key-9", 0, "401 unknown_key" },
+    { "part of a key", "Token key-", 0, "401 unknown_key" },
+    { "no header", "", 0, "401 no_key" },
+    { "scheme alone", "Token ", 0, "401 no_key" },
+    { "key alone", "key-1", 0, "401 no_key" },
+    { "wrong scheme", "Bearer key-1", 0, "401 no_key" },
+    { "longer scheme", "Tokens key-1", 0, "401 no_key" },
+    { "public, key", "Token key-1", kPublic, "a" },
+    { "public, no key", "", kPublic, "allowed" },
+    { "public, unknown key", "Token x", kPublic | kWorst, "allowed" },
+    { "newer, unknown key", "Token x", kNewer, "503 newer_document" },
+    { "newer, no key", "", kNewer, "401 no_key" },
+    { "newer, known key", "Token key-1", kNewer, "a" },
+    { "fail open", "Token key-1", kCutOff, "a" },
+    { "fail closed", "Token key-1", kCutOff | kFailClosed, "503 no_control" },
+    { "fail closed, no key", "", kCutOff | kFailClosed, "503 no_control" },
+    { "fail closed, recent", "Token key-1", kRecent | kFailClosed, "a" },
   };
   for (const Row& row : rows) {
-    CAPTURE(row.name_);
+    CAPTURE(std::string(row.name_));
+    const auto has = [&](unsigned aFlag) { return (row.flags_ & aFlag) != 0; };
     TeamAccessSettings settings;
-    settings.refusesKeysWithoutControl_ = row.refusesWithoutControl_;
-    const TeamAccess access = DecideTeamAccess(settings,
-                                               "Token",
-                                               { row.teams_,
-                                                 row.isPublic_,
-                                                 row.authorization_,
-                                                 row.isNewerKnown_,
-                                                 row.sinceContact_ });
+    settings.refusesKeysWithoutControl_ = has(kFailClosed);
+    TeamAccessRequest request;
+    request.teams_ = has(kEmptyList) ? &empty : &some;
+    if (has(kNoList)) {
+      request.teams_ = nullptr;
+    }
+    request.isRoutePublic_ = has(kPublic);
+    request.authorization_ = row.authorization_;
+    request.isNewerDocumentKnown_ = has(kNewer);
+    request.sinceControlContact_ =
+      milliseconds(has(kRecent) ? 4999 : (has(kCutOff) ? 5000 : 0));
+    const TeamAccess access = DecideTeamAccess(settings, "Token", request);
     CHECK(TextOf(access) == row.expected_);
     if (const auto* unavailable = std::get_if<AccessUnavailable>(&access)) {
       CHECK(unavailable->retryAfter_ > milliseconds::zero());
