feed: the wait of a starting instance for evacuated zones is bounded

Cause: an entry instance that starts while the control instances have no quorum was not ready and used no server until there was one, although the instances that run go on serving. Deployments that cannot evacuate paid for it, too.

Change: the wait ends with the one for a newer document, 1 s after the first one, and is left out where the settings bound no evacuation.

--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -133,8 +133,8 @@
 void EdgeInstance::OnFeedServers(const ServerDirectory& aDirectory,
                                  TimePoint aNow)
 {
-  // Without the evacuations, requests would reach servers of evacuated zones.
-  if (!hasEvacuations_) {
+  holdsServers_ = feed_.IsAwaitingEvacuations(aNow);
+  if (holdsServers_) {
     return;
   }
   gateway_.SetServers(aDirectory, aNow);
@@ -166,7 +166,12 @@
     .Add("zones", aZones.Names());
   evacuatedZonesGauge_.Set(static_cast<double>(aZones.zones_.size()));
   gateway_.SetEvacuatedZones(aZones.zones_, aNow);
-  if (!std::exchange(hasEvacuations_, true)) {
+  ReleaseServers(aNow);
+}
+
+void EdgeInstance::ReleaseServers(TimePoint aNow)
+{
+  if (holdsServers_ && !feed_.IsAwaitingEvacuations(aNow)) {
     OnFeedServers(feed_.Directory(), aNow);
   }
 }
@@ -203,6 +208,7 @@
 
 void EdgeInstance::UpdateReadiness(TimePoint aNow)
 {
+  ReleaseServers(aNow);
   const bool isReady = feed_.IsReady(aNow);
   isReady_ = isReady;
   const size_t liveSources = feed_.LiveSources(aNow);
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -84,6 +84,8 @@
                         bool aIsComplete,
                         TimePoint aNow) override;
   void ScheduleReadinessCheck();
+  /// Passes withheld servers on when the wait for the evacuated zones is over.
+  void ReleaseServers(TimePoint aNow);
   void UpdateReadiness(TimePoint aNow);
   /// Reads the load on the worker and blocks until it has been read.
   Load GetLoad();
@@ -106,7 +108,9 @@
   std::atomic<bool> isReady_{ false };
   /// Version of the last document that was readable.
   DocumentVersion documentInForce_;
-  bool hasEvacuations_ = false;
+  /// Whether the directory is withheld from the gateway, as servers of
+  /// evacuated zones cannot be told from others yet.
+  bool holdsServers_ = false;
   bool wasReady_ = false;
   bool wasFollowing_ = false;
   prometheus::Gauge& versionGauge_;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -48,13 +48,22 @@
 
 bool FeedClient::IsReady(TimePoint aNow) const
 {
-  if (version_.Value() == 0 || !evacuations_.IsKnown()) {
+  if (version_.Value() == 0 || IsAwaitingEvacuations(aNow)) {
     return false;
   }
   return (HaveAllReplied() && hasServers_) ||
          aNow - firstDocumentAt_ >= settings_.startTimeout_;
 }
 
+bool FeedClient::IsAwaitingEvacuations(TimePoint aNow) const
+{
+  if (!settings_.hasEvacuations_ || evacuations_.IsKnown()) {
+    return false;
+  }
+  return version_.Value() == 0 ||
+         aNow - firstDocumentAt_ < settings_.startTimeout_;
+}
+
 size_t FeedClient::LiveSources(TimePoint aNow) const
 {
   const Duration limit = settings_.farWait_ + settings_.replyTimeout_;
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -42,8 +42,12 @@
   milliseconds replyTimeout_{ 600 };
   /// Delay after a failed poll.
   milliseconds retryDelay_{ 150 };
+  /// Whether zones of the deployment may be evacuated, so that a starting
+  /// instance waits for the evacuated zones.
+  bool hasEvacuations_ = true;
   /// A starting instance that has received a document waits this long for
-  /// sources that have not replied yet, as they may have a newer one.
+  /// sources that have not replied yet, as they may have a newer one, and for
+  /// the evacuated zones, which no source states while there is no quorum.
   milliseconds startTimeout_{ 1000 };
   /// Documents are requested from the nearest source. When it has not sent a
   /// version that another source reports for this long, the other one is asked
@@ -151,9 +155,12 @@
   /// one does. Called on worker 0.
   void ReportLeavingServer(const FeedLeavingServer& aServer, TimePoint aNow);
 
-  /// @return whether the evacuated zones are known, and the newest document
-  /// that any reachable source has is received or the wait for it is over.
+  /// @return whether the newest document that any reachable source has and the
+  /// evacuated zones are received, or the wait for them is over.
   bool IsReady(TimePoint aNow) const;
+  /// @return whether the evacuated zones are not known and may be received
+  /// soon.
+  bool IsAwaitingEvacuations(TimePoint aNow) const;
   const ServerDirectory& Directory() const { return directory_; }
   DocumentVersion Version() const { return version_; }
   /// @return the newest version that a source has reported.
