allowance: the quota of a team is shared by all instances

Cause: a team's rate and burst must hold over all instances together, also under restarts, pauses and network partitions.

Change: control instances keep an account of permits for each team with a quota and grant them to entry instances, which own no rate; control instances lend permits to each other, on demand and ahead of it. Permits are subtracted before they are sent, and moved permits expire. The gateway lets a request of a team with a quota begin once it has a permit, else answers 429 or 503 as not run; a request that did not run returns its permit, and a first attempt is not sent after the permit has expired. Documents without quotas cause no messages.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -3,13 +3,17 @@
 #include "consensus/FileLogStorage.h"
 #include "core/Log.h"
 #include "core/RandomSource.h"
+#include "forward/QuotaGate.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace foxtail {
 namespace {
 
 constexpr seconds kTrafficLogInterval{ 10 };
+/// A started instance gives permits from the first check that succeeds.
+constexpr milliseconds kContactCheckInterval{ 200 };
 
 /// @tparam Instance has the frame endpoint of an instance in endpoint_.
 template<typename Instance>
@@ -37,7 +41,8 @@
 
 EdgeControl::EdgeControl(EdgeControlSettings aSettings,
                          DataFolder aFolder,
-                         std::function<void()> aOnFailure)
+                         std::function<void()> aOnFailure,
+                         Decoder aDecoder)
   : settings_(std::move(aSettings))
   , workers_(1)
   , frames_(settings_.frames_, workers_)
@@ -52,22 +57,30 @@
   , feed_(settings_.zone_, frames_, metrics_, RandomSource::SystemSeed(), Now())
   , servers_(feed_, departures_)
   , peers_(PeerFeedSettings(settings_), frames_, workers_.Context(0), *this)
+  , decoder_(std::move(aDecoder))
+  , allowances_(settings_.allowance_, frames_, workers_.Context(0), metrics_)
   , seeds_(EndpointsOf(settings_.control_.seeds_))
   , trafficTimer_(workers_.Context(0))
+  , contactTimer_(workers_.Context(0))
 {
   control_.OnFailure(std::move(aOnFailure));
   control_.OnDocument([this](DocumentVersion aVersion,
                              const std::shared_ptr<const std::string>& aText,
-                             bool) { feed_.OnDocument(aVersion, aText); });
+                             bool) {
+    feed_.OnDocument(aVersion, aText);
+    if (decoder_ != nullptr && aText != nullptr) {
+      boost::asio::post(workers_.Context(0), [this, aVersion, aText] {
+        SetQuotas(aVersion, *aText);
+      });
+    }
+  });
   control_.OnDeparture([this](const ServerAnnouncement& aDeparture) {
     feed_.OnDeparture(aDeparture, Now());
   });
   control_.OnMembership([this](const Membership& aMembership) {
     auto endpoints = EndpointsOf(aMembership.members_);
-    boost::asio::post(workers_.Context(0), [this, endpoints] {
-      members_ = endpoints;
-      PollPeers();
-    });
+    boost::asio::post(workers_.Context(0),
+                      [this, endpoints] { SetMembers(endpoints); });
     feed_.OnControlInstances(std::move(endpoints));
   });
 }
@@ -88,6 +101,7 @@
   }
   peers_.Start(Now());
   ScheduleTrafficLog();
+  ScheduleContactCheck();
   workers_.Start();
   LogLine(LogLevel::Info, "started")
     .Add("instance", settings_.instance_)
@@ -113,6 +127,54 @@
   control_.SetSeeds(std::move(aSeeds));
 }
 
+void EdgeControl::SetMembers(std::vector<std::string> aEndpoints)
+{
+  members_ = std::move(aEndpoints);
+  PollPeers();
+  std::vector<std::string> others = members_;
+  const bool isMember = std::erase(others, settings_.control_.endpoint_) > 0;
+  allowances_.SetPeers(others);
+  allowances_.Ledger().SetMembers(members_.size(), isMember, Now());
+}
+
+void EdgeControl::SetQuotas(DocumentVersion aVersion, const std::string& aText)
+{
+  const auto document = decoder_(aText);
+  if (!document.ok()) {
+    LogLine(LogLevel::Error, "document_unreadable")
+      .Add("version", aVersion)
+      .Add("error", document.status());
+    return;
+  }
+  const auto quotas = QuotasOf(*document);
+  allowances_.Ledger().SetLimits(aVersion, quotas, Now());
+  LogLine(LogLevel::Info, "quotas_in_force")
+    .Add("version", aVersion)
+    .Add("teams", quotas.size());
+}
+
+void EdgeControl::ScheduleContactCheck()
+{
+  contactTimer_.expires_after(kContactCheckInterval);
+  contactTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const TimePoint now = Now();
+    const auto live = peers_.Controls(now);
+    // This instance counts as one.
+    const auto reached =
+      1 + std::count_if(live.begin(), live.end(), [&](const auto& aControl) {
+        return std::find(members_.begin(), members_.end(), aControl.first) !=
+               members_.end();
+      });
+    if (2 * static_cast<size_t>(reached) > members_.size()) {
+      allowances_.Ledger().OnMajorityContact(now);
+    }
+    ScheduleContactCheck();
+  });
+}
+
 void EdgeControl::PollPeers()
 {
   std::vector<std::string> endpoints = seeds_;
@@ -130,6 +192,9 @@
     LogLine(LogLevel::Info, "traffic")
       .Add("entries", feed_.EntryCount(Now()))
       .Add("consensus_bytes", frames_.BytesSent(FrameKind::Consensus))
+      .Add("allowance_bytes",
+           frames_.BytesSent(FrameKind::Allowance) +
+             frames_.BytesSent(FrameKind::AllowanceReply))
       .Add("feed_bytes", frames_.BytesSent(FrameKind::FeedReply))
       .Add("frames_dropped", frames_.FramesDropped())
       .Add("connections", frames_.OpenConnections());
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_EDGECONTROL_H
 #define EDGE_EDGECONTROL_H
 
+#include "allowance/AllowanceServer.h"
 #include "control/CommandServer.h"
 #include "control/DepartureLog.h"
 #include "control/VersionedDocumentService.h"
@@ -9,6 +10,7 @@
 #include "edge/ServerRegistration.h"
 #include "feed/FeedClient.h"
 #include "feed/FeedSource.h"
+#include "forward/RouteDocument.h"
 #include "instance/FrameTransport.h"
 
 #include <atomic>
@@ -24,6 +26,7 @@
   std::string dataFolder_;
   FrameTransportSettings frames_;
   ControlSettings control_;
+  AllowanceSettings allowance_;
   /// Whether this instance may create the consensus group when its folder is
   /// empty.
   bool mayBootstrap_ = false;
@@ -37,10 +40,17 @@
 class EdgeControl : private FeedListener
 {
 public:
+  /// Decodes the text of the accepted document.
+  using Decoder =
+    std::function<absl::StatusOr<RouteDocument>(const std::string& aText)>;
+
   /// @param aOnFailure called once when the storage has failed.
+  /// @param aDecoder gives the quotas of teams; without it no permits are
+  /// shared.
   EdgeControl(EdgeControlSettings aSettings,
               DataFolder aFolder,
-              std::function<void()> aOnFailure);
+              std::function<void()> aOnFailure,
+              Decoder aDecoder = {});
   ~EdgeControl() override;
 
   absl::Status Start();
@@ -76,6 +86,13 @@
   /// Polls the seeds and the members for the servers that announced themselves
   /// there. Called on worker 0 when one of the lists has changed.
   void PollPeers();
+  /// Puts the quotas of an accepted document in force. Called on worker 0.
+  void SetQuotas(DocumentVersion aVersion, const std::string& aText);
+  /// Called on worker 0 when the members have changed.
+  void SetMembers(std::vector<std::string> aEndpoints);
+  /// Schedules the next check for contact to a majority of the members, without
+  /// which no permits are given.
+  void ScheduleContactCheck();
   /// Schedules the next log line of the bytes sent to other instances, by kind.
   void ScheduleTrafficLog();
 
@@ -90,10 +107,13 @@
   FeedSource feed_;
   ServerRegistration servers_;
   FeedClient peers_;
+  const Decoder decoder_;
+  AllowanceServer allowances_;
   /// Frame endpoints of other control instances; used on worker 0.
   std::vector<std::string> seeds_;
   std::vector<std::string> members_;
   boost::asio::steady_timer trafficTimer_;
+  boost::asio::steady_timer contactTimer_;
 };
 
 } // namespace foxtail
--- a/src/edge/EdgeInstance.cpp
+++ b/src/edge/EdgeInstance.cpp
@@ -37,6 +37,17 @@
              metrics_,
              RandomSource::SystemSeed())
   , feed_(settings_.feed_, frames_, workers_.Context(0), *this)
+  , permits_(settings_.allowance_,
+             frames_,
+             workers_.Context(0),
+             metrics_,
+             [this](TimePoint aNow) {
+               std::vector<AllowanceControl> controls;
+               for (auto& [endpoint, distance] : feed_.Controls(aNow)) {
+                 controls.push_back({ endpoint, static_cast<int>(distance) });
+               }
+               return controls;
+             })
   , callers_(settings_.callers_, gateway_, workers_.Context(0), metrics_)
   , readinessTimer_(workers_.Context(0))
   , versionGauge_(metrics_.Gauge("foxtail_edge_document_version",
@@ -70,6 +81,7 @@
   });
   gateway_.Crashes().OnReport(
     [this](const CrashReport& aReport) { feed_.ReportCrash(aReport); });
+  gateway_.Quota().SetSource(&permits_);
   gateway_.Start(Now());
   feed_.Start(Now());
   ScheduleReadinessCheck();
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_EDGEINSTANCE_H
 #define EDGE_EDGEINSTANCE_H
 
+#include "allowance/AllowanceClient.h"
 #include "core/Metrics.h"
 #include "core/WorkerPool.h"
 #include "feed/FeedClient.h"
@@ -19,6 +20,7 @@
   CallerPortSettings callers_;
   FrameTransportSettings frames_;
   FeedClientSettings feed_;
+  AllowanceSettings allowance_;
   /// A stopping instance accepts requests for this long after it reports that
   /// it is not ready, until load balancers have noticed: two probes a second
   /// apart.
@@ -99,6 +101,7 @@
   FrameTransport frames_;
   Gateway gateway_;
   FeedClient feed_;
+  AllowanceClient permits_;
   CallerPort callers_;
   boost::asio::steady_timer readinessTimer_;
   std::atomic<bool> isDraining_{ false };
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -64,6 +64,18 @@
     }));
 }
 
+std::vector<std::pair<std::string, ZoneDistance>> FeedClient::Controls(
+  TimePoint aNow) const
+{
+  std::vector<std::pair<std::string, ZoneDistance>> controls;
+  for (const auto& [endpoint, source] : sources_) {
+    if (IsLive(source, aNow)) {
+      controls.emplace_back(endpoint, source.distance_);
+    }
+  }
+  return controls;
+}
+
 bool FeedClient::IsLive(const Source& aSource, TimePoint aNow) const
 {
   return aSource.hasReplied_ && !aSource.isLost_ &&
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -147,6 +147,10 @@
   size_t LiveSources(TimePoint aNow) const;
   /// @return number of sources that are polled.
   size_t SourceCount() const { return sources_.size(); }
+  /// @return frame endpoints of the sources whose last reply is recent, and
+  /// their distances.
+  std::vector<std::pair<std::string, ZoneDistance>> Controls(
+    TimePoint aNow) const;
 
 private:
   struct Source
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -33,6 +33,12 @@
   /// Whether a backend server has replied to an attempt, so that the request is
   /// no cause of crashes. Set by the connections that the attempts are sent on.
   mutable bool hasReply_ = false;
+  /// Whether the team's quota has a permit for it, and by when the first
+  /// attempt must be sent.
+  bool hasPermit_ = false;
+  TimePoint sendBy_ = TimePoint::max();
+  /// Whether an attempt has been sent. Set by the pools of connections.
+  mutable bool isSent_ = false;
   bool hasBody_ = false;
   bool isHead_ = false;
   TimePoint startedAt_{};
@@ -113,12 +119,14 @@
   ServerRemoved,
   /// The rate limits of the servers allowed no request in time.
   RateLimited,
+  /// No connection was free while the permit of the team's quota was valid.
+  PermitExpired,
 };
 
 template<>
 struct EnumTable<ExchangeFault>
 {
-  static constexpr std::array<EnumName<ExchangeFault>, 17> kRows{ {
+  static constexpr std::array<EnumName<ExchangeFault>, 18> kRows{ {
     { ExchangeFault::None, "none" },
     { ExchangeFault::Shed, "shed" },
     { ExchangeFault::WrongServer, "wrong_server" },
@@ -136,6 +144,7 @@
     { ExchangeFault::Abandoned, "abandoned" },
     { ExchangeFault::ServerRemoved, "retired" },
     { ExchangeFault::RateLimited, "rate_limited" },
+    { ExchangeFault::PermitExpired, "permit_expired" },
   } };
 };
 
--- a/src/forward/Gateway.cpp
+++ b/src/forward/Gateway.cpp
@@ -156,6 +156,7 @@
                         TimePoint aNow)
 {
   table_ = std::move(aTable);
+  quota_.SetTeams(table_->Document());
   pools_.DistributeConnections(*table_, instances_);
   ReleaseHeld(aNow);
 }
@@ -267,7 +268,7 @@
       settings_.retryAfter_));
     return nullptr;
   }
-  ++requestCount_;
+  requestCount_ += aRequest.hasPermit_ ? 0 : 1;
   const Route* route = table_->Find(aRequest.host_, PathOf(aRequest.target_));
   if (route == nullptr) {
     LogLine(LogLevel::Info, "no_route")
@@ -294,6 +295,19 @@
     RefuseQuarantined(aRequest, quarantine->until_, aOnComplete, aNow);
     return nullptr;
   }
+  if (quota_.Applies(aRequest)) {
+    return quota_.Begin(
+      std::move(aRequest),
+      *route,
+      settings_.retryAfter_,
+      std::move(aOnComplete),
+      [this](ForwardRequest aPermitted,
+             RequestHandler::CompletionCallback aOnEnd,
+             TimePoint aBegunAt) {
+        return BeginNow(std::move(aPermitted), std::move(aOnEnd), aBegunAt);
+      },
+      aNow);
+  }
   auto request = std::make_shared<const ForwardRequest>(std::move(aRequest));
   HandlerFactory factory{
     *this, *route, request, WithLatencyMetric(std::move(aOnComplete), aNow)
--- a/src/forward/Gateway.h
+++ b/src/forward/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "forward/ForwardSettings.h"
 #include "forward/HeldRequests.h"
+#include "forward/QuotaGate.h"
 #include "forward/RequestHandler.h"
 #include "policy/PauseDetector.h"
 #include "policy/WeightedRoundRobin.h"
@@ -62,6 +63,8 @@
   /// Those in progress are limited by their connections.
   void BeginStop(TimePoint aAnswerBy) { context_.answerBy_ = aAnswerBy; }
 
+  /// Quotas of teams.
+  QuotaGate& Quota() { return quota_; }
   /// @return which requests are not sent as they crash backend servers.
   CrashMonitor& Crashes() { return pools_.Crashes(); }
 
@@ -124,6 +127,7 @@
   std::shared_ptr<const RouteTable> table_;
   RequestHandlerContext context_;
   HeldRequests held_;
+  QuotaGate quota_;
   PauseDetector pauseDetector_;
   prometheus::Counter& heldTotal_;
   prometheus::Counter& quarantineRefusals_;
--- a/src/forward/RequestHandler.cpp
+++ b/src/forward/RequestHandler.cpp
@@ -270,6 +270,7 @@
        route_.maxAttempts_);
   if (!isAllowed || aAttempts.sendCount_ >= kMaxSendsPerService ||
       aNow >= responseDeadline_ ||
+      aAttempts.lastFault_ == ExchangeFault::PermitExpired ||
       Treatment(aNow) == SuspectTreatment::Refuse) {
     return false;
   }
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -253,15 +253,20 @@
     FailOneWaiting(ExchangeFault::TimedOut, aNow);
   }
   while (!waiting_.empty() && !idleConnections_.empty()) {
+    const auto exchange = waiting_.front();
+    if (!exchange->request_->isSent_ && exchange->request_->sendBy_ <= aNow) {
+      FailOneWaiting(ExchangeFault::PermitExpired, aNow);
+      continue;
+    }
     const auto connection = idleConnections_.back();
     idleConnections_.pop_back();
-    const auto exchange = waiting_.front();
     if (!connection->CanCarry(exchange->request_->id_)) {
       connection->CloseWithoutNotice();
       RemoveConnection(*connection);
       continue;
     }
     waiting_.pop_front();
+    exchange->request_->isSent_ = true;
     exchange->outstandingAtSend_ = static_cast<uint32_t>(sentTimes_.size());
     sentTimes_.insert(aNow);
     shared_.metrics_.sent_[static_cast<size_t>(distance_)]->Increment();
