--- a/src/forward/TeamGate.cpp
+++ b/src/forward/TeamGate.cpp
@@ -71,6 +71,18 @@
   if (aTable.Teams() == nullptr) {
     return std::nullopt;
   }
+  if (aRequest.hasTeamHeaders_) {
+    // The key was checked and removed before the request waited for a permit.
+    const bool isTeamRemoved =
+      !aRequest.team_.empty() &&
+      aTable.Teams()->FindByName(aRequest.team_) == nullptr;
+    return isTeamRemoved ? std::optional(Refuse(aTable,
+                                                aRoute,
+                                                aRequest,
+                                                TeamRefusal::UnknownKey,
+                                                std::nullopt))
+                         : std::nullopt;
+  }
   const TeamAccess access = Decide(aTable, aRoute, aRequest, aNow);
   if (const auto* denied = std::get_if<AccessDenied>(&access)) {
     return Refuse(aTable, aRoute, aRequest, denied->reason_, std::nullopt);
