edge: a test that a control instance grants permits by the document

Cause: nothing guarded the path from the accepted document, the membership and the contact check of a control instance to the permits that it grants.

Change: a test commits a document with a quota and asks for permits by frames.

--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -201,3 +201,71 @@
   stop.get();
   control.Stop();
 }
+
+TEST_CASE("edge: a control instance grants permits by the accepted document")
+{
+  TemporaryFolder folder;
+  const uint16_t port = FreePort();
+  auto data = DataFolder::Open(folder.path_.string());
+  REQUIRE(data.ok());
+  EdgeControl control(
+    ControlSettingsFor(folder, port),
+    *std::move(data),
+    [] {},
+    [](const std::string& aText) {
+      auto document = DecodeSingleRoute(aText);
+      Team team;
+      team.name_ = "team-1";
+      team.requestsPerSecond_ = 0.001;
+      document->teams_ = { team };
+      return document;
+    });
+  REQUIRE(control.Start().ok());
+  WorkerPool pool(1);
+  FrameTransport frames(FrameSettings("entry-1"), pool);
+  REQUIRE(frames.Start().ok());
+  pool.Start();
+  const FrameTransport::Endpoint endpoint(
+    boost::asio::ip::make_address("127.0.0.1"), port);
+  const auto ask = [&] {
+    AllowanceRequest request;
+    request.asks_ = { { "team-1", 9, 9 } };
+    request.version_ = DocumentVersion(4);
+    auto call = frames.Call(
+      endpoint,
+      Frame{ FrameKind::Allowance, 0, EncodeAllowanceRequest(request) },
+      seconds(1));
+    const auto reply = boost::asio::co_spawn(pool.Context(0),
+                                             std::move(call),
+                                             boost::asio::use_future)
+                         .get();
+    const auto decoded =
+      reply.ok() ? DecodeAllowanceReply(reply->payload_) : reply.status();
+    return decoded.ok() && decoded->gives_ ? decoded->grants_.at(0)
+                                           : AllowanceGrant{};
+  };
+  REQUIRE(WaitUntil([&] { return control.IsLeader(); }));
+  // The document of the entry instance has not arrived here.
+  REQUIRE(
+    WaitUntil([&] { return ask().outcome_ == AllowanceOutcome::Refused; }));
+  REQUIRE(WaitUntil([&] {
+    auto operation = control.Documents().Commit(DocumentVersion(4), "proofs");
+    auto outcome = boost::asio::co_spawn(control.Workers().Context(0),
+                                         std::move(operation),
+                                         boost::asio::use_future);
+    return std::get_if<DocumentCommitted>(
+             &static_cast<const CommitOutcome&>(outcome.get())) != nullptr;
+  }));
+  // A quarter of the slack, as the only control instance. WaitUntil() calls the
+  // condition once more at its end.
+  double granted = 0;
+  REQUIRE(
+    WaitUntil([&] { return granted > 0 || (granted = ask().amount_) > 0; }));
+  CHECK(granted == 5);
+  const AllowanceGrant refused = ask();
+  CHECK(refused.outcome_ == AllowanceOutcome::Refused);
+  CHECK(refused.expectedIn_ > seconds(10));
+  frames.Stop();
+  pool.Stop();
+  control.Stop();
+}
