tests: a server announced during an evacuation receives no request

Cause: the check passed even without the mark on new pools, since another server was preferred.

Change: the other server leaves while the evacuation lasts; the request must be refused.

--- a/tests/forward/EvacuationTest.cpp
+++ b/tests/forward/EvacuationTest.cpp
@@ -42,6 +42,8 @@
 
   fixture.Announce(
     "i-2", "proofs", outside.Address(), ServerPhase::Gone, "zone-a");
+  CHECK(fixture.Get("/proofs/1").result_int() == 503);
+  CHECK(inside.Requests().size() == before);
   fixture.SetEvacuatedZones({});
   CHECK(fixture.Get("/proofs/1").body() == "inside");
 }
