Client limits: one budget for all ports of the product's own programs; tests

Cause: each HTTP listener of foxtail-entry, foxtail-control and foxtail-console had a budget of its own, so that a process could hold twice the bytes.

--- a/programs/foxtail-console.cpp
+++ b/programs/foxtail-console.cpp
@@ -45,6 +45,8 @@
   aReader.Object("platform", [&](JsonReader& aMember) {
     settings.platform_ = HttpServerSettings::Read(aMember, kPlatformPort);
   });
+  // One budget a process.
+  settings.platform_.peerBytes_ = settings.operators_.peerBytes_;
   settings.console_ = ConsoleSettings::Read(aReader);
   return settings;
 }
--- a/programs/foxtail-control.cpp
+++ b/programs/foxtail-control.cpp
@@ -66,6 +66,8 @@
   aReader.Object("platform", [&](JsonReader& aMember) {
     settings.platform_ = HttpServerSettings::Read(aMember, kPlatformPort);
   });
+  // One budget a process.
+  settings.platform_.peerBytes_ = settings.admin_.peerBytes_;
   settings.instances_.instance_ = settings.instance_;
   settings.control_.instance_ = settings.instance_;
   return settings;
--- a/programs/foxtail-entry.cpp
+++ b/programs/foxtail-entry.cpp
@@ -79,6 +79,8 @@
   aReader.Object("platform", [&](JsonReader& aMember) {
     settings.platform_ = HttpServerSettings::Read(aMember, kPlatformPort);
   });
+  // One budget a process.
+  settings.platform_.peerBytes_ = settings.callers_.peerBytes_;
   settings.isShared_ = settings.shared_.Read(aReader);
   settings.shared_.instance_ = settings.instance_;
   settings.shared_.zone_ = settings.zone_;
--- a/tests/system/client_limits_test.py
+++ b/tests/system/client_limits_test.py
@@ -22,6 +22,7 @@
 sys.path.insert(0, SOAK)
 
 import wire  # noqa: E402
+from deployment import Deployment, query_service  # noqa: E402
 from machines import Fleet  # noqa: E402
 from promises import History  # noqa: E402
 from soak import claim_number  # noqa: E402
@@ -41,10 +42,10 @@
 
 
 def figure(pid, name):
-    """A line of /proc/PID/status, in kB."""
+    """A line of /proc/PID/status, in kB; 0 if the process has ended."""
     with open(f"/proc/{pid}/status", encoding="ascii") as file:
-        return int(next(line.split()[1] for line in file
-                        if line.startswith(name + ":")))
+        return next((int(line.split()[1]) for line in file
+                     if line.startswith(name + ":")), 0)
 
 
 class Machine:
@@ -199,6 +200,65 @@
     return False
 
 
+def check_limits(case, loop, process, address, port, kind, clients, text,
+                 statuses):
+    """Runs a crowd against a process and checks what must hold.
+
+    @param process the subprocess.Popen of the program."""
+    pid = process.pid
+    memory, descriptors = loop.run_until_complete(
+        crowd(pid, address, port, kind, clients))
+    seen = f"{memory} kB, {descriptors} descriptors"
+    case.assertIsNone(process.poll(), "the process ended")
+    case.assertLess(memory, MEMORY_MB * 1024, seen)
+    case.assertLess(descriptors, MAX_DESCRIPTORS, seen)
+    case.assertTrue(loop.run_until_complete(
+        is_answered(address, port, text, statuses)),
+        "an ordinary request is not answered after the crowd")
+    deadline = time.monotonic() + RETURN_S
+    while (figure(pid, "VmRSS") >= RETURNED_MB * 1024
+           and time.monotonic() < deadline):
+        loop.run_until_complete(asyncio.sleep(0.1))
+    left = figure(pid, "VmRSS")
+    print(f"{case.id().split('.')[-1]}: {memory} kB, {descriptors} "
+          f"descriptors, {left} kB after it", flush=True)
+    case.assertLess(left, RETURNED_MB * 1024, "memory is not returned")
+
+
+class OwnEntryLimitsTest(unittest.TestCase):
+    """The product's own entry instance, with the budget in its settings."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.loop = asyncio.new_event_loop()
+        cls.deployment = Deployment(build=BUILD)
+        cls.deployment.__enter__()
+        document = cls.deployment.document(
+            services=[query_service("desk", ["packets"])])
+        cls.entry = cls.deployment.entry(
+            "entry-1", "hanoi", document,
+            callers={"port": cls.deployment.free_ports(),
+                     "max_peer_bytes": MEMORY_MB * 1024 * 1024 // 4})
+        if not cls.loop.run_until_complete(is_answered(
+                "127.0.0.1", cls.port_of(cls.entry.callers),
+                wire.message("GET /nothing HTTP/1.1", {"Host": "a"}), [404])):
+            raise AssertionError("the entry instance does not serve")
+
+    @staticmethod
+    def port_of(address):
+        return int(address.rsplit(":", 1)[1])
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.deployment.__exit__(None, None, None)
+
+    def check(self, address, kind):
+        text = wire.message("GET /nothing HTTP/1.1", {"Host": "a"})
+        check_limits(self, self.loop, self.entry.popen, "127.0.0.1",
+                     self.port_of(address), kind,
+                     Clients("POST", "/v1/query/desk"), text, [404])
+
+
 class ClientLimitsTest(unittest.TestCase):
 
     @classmethod
@@ -248,25 +308,8 @@
         shutil.rmtree(cls.folder)
 
     def check(self, machine, port, kind, clients, text, statuses):
-        process = machine.process
-        pid = process.pid
-        memory, descriptors = self.loop.run_until_complete(
-            crowd(pid, machine.address, port, kind, clients))
-        seen = f"{memory} kB, {descriptors} descriptors"
-        self.assertIsNone(process.poll(), "the process ended")
-        self.assertLess(memory, MEMORY_MB * 1024, seen)
-        self.assertLess(descriptors, MAX_DESCRIPTORS, seen)
-        self.assertTrue(self.loop.run_until_complete(
-            is_answered(machine.address, port, text, statuses)),
-            "an ordinary request is not answered after the crowd")
-        deadline = time.monotonic() + RETURN_S
-        while (figure(pid, "VmRSS") >= RETURNED_MB * 1024
-               and time.monotonic() < deadline):
-            self.loop.run_until_complete(asyncio.sleep(0.1))
-        left = figure(pid, "VmRSS")
-        print(f"{self.id().split('.')[-1]}: {memory} kB, {descriptors} "
-              f"descriptors, {left} kB after it", flush=True)
-        self.assertLess(left, RETURNED_MB * 1024, "memory is not returned")
+        check_limits(self, self.loop, machine.process, machine.address, port,
+                     kind, clients, text, statuses)
 
 
 def add_case(name, kind, place):
@@ -293,10 +336,20 @@
     setattr(ClientLimitsTest, name, case)
 
 
+def add_own_case(place, kind):
+    def case(self):
+        self.check(getattr(self.entry, place), kind)
+
+    setattr(OwnEntryLimitsTest, f"test_own_{place}_{kind}", case)
+
+
 for place_of_case in ("lost", "once", "one", "ready", "control"):
     for kind_of_case in KINDS:
         add_case(f"test_{place_of_case}_{kind_of_case}", kind_of_case,
                  place_of_case)
+for place_of_case in ("callers", "platform"):
+    for kind_of_case in KINDS:
+        add_own_case(place_of_case, kind_of_case)
 
 
 if __name__ == "__main__":
