forward: the pace of servers that have started, turned cold or recovered

Cause: each instance ranks a new server first, as it has nothing outstanding there, so 82 instances send it all requests of its service before the first replies show that it is slow.

Change: ServerPace gives the share of requests for which an instance considers such a server; it grows with time and usual replies.

--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -34,6 +34,8 @@
 
 void BackendPoolSet::Update(const ServerDirectory& aDirectory, TimePoint aNow)
 {
+  // The servers of the first directory are in use at other instances.
+  const bool isInUse = !byId_.empty();
   std::vector<std::shared_ptr<ServerConnectionPool>> removed;
   for (const auto& [id, pool] : byId_) {
     const ServerRecord* row = aDirectory.Find(id);
@@ -66,7 +68,7 @@
     announcement.warmupLeft_ = std::max(
       milliseconds(0), duration_cast<milliseconds>(row.WarmupEndsAt() - aNow));
     if (isNew) {
-      Add(announcement, aNow);
+      Add(announcement, isInUse, aNow);
     } else {
       found->second->Update(announcement, aNow);
     }
@@ -135,6 +137,21 @@
       pools.push_back(&pool);
     }
   }
+  // Servers whose share leaves this request to others are left out, unless that
+  // leaves none.
+  size_t considered = 0;
+  for (size_t i = 0; i < pools.size(); ++i) {
+    const double share = (*pools[i])->PaceShare(aNow);
+    if (share >= 1 || random_.NextDouble() < share) {
+      std::swap(states[considered], states[i]);
+      std::swap(pools[considered], pools[i]);
+      ++considered;
+    }
+  }
+  if (considered > 0) {
+    states.resize(considered);
+    pools.resize(considered);
+  }
   const auto choice =
     ChooseByLatency(settings_.rank_, states, aServerTime, aBudgetUsed, random_);
   if (!choice) {
@@ -216,6 +233,7 @@
 }
 
 void BackendPoolSet::Add(const ServerAnnouncement& aAnnouncement,
+                         bool aHasStarted,
                          TimePoint aNow)
 {
   const auto endpoint = ToEndpoint(aAnnouncement.address_);
@@ -231,6 +249,7 @@
     headerNames_,
     shared_,
     settings_.coldServers_,
+    settings_.pace_,
     aAnnouncement,
     *endpoint,
     settings_.zones_.DistanceTo(aAnnouncement.zone_),
@@ -242,6 +261,9 @@
                             : maxConnections->second);
   pool->SetInstances(instances_, aNow);
   pool->SetColdRate(ColdRateOf(aAnnouncement.service_), aNow);
+  if (aHasStarted) {
+    pool->BeginPace(aNow);
+  }
   byService_[aAnnouncement.service_].push_back(pool);
   byId_[aAnnouncement.id_] = std::move(pool);
 }
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -113,7 +113,11 @@
   }
 
 private:
-  void Add(const ServerAnnouncement& aAnnouncement, TimePoint aNow);
+  /// @param aHasStarted whether the server appeared while this instance was in
+  /// use.
+  void Add(const ServerAnnouncement& aAnnouncement,
+           bool aHasStarted,
+           TimePoint aNow);
   /// @return the rate that cold servers of a service tolerate; 0 when any.
   double ColdRateOf(const ServiceName& aService) const;
   void Remove(const std::shared_ptr<ServerConnectionPool>& aPool,
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -11,6 +11,7 @@
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
 #include "policy/ReplyLimits.h"
+#include "policy/ServerPace.h"
 #include "policy/StartupHold.h"
 #include "policy/ZoneMap.h"
 
@@ -53,6 +54,8 @@
   LatencyPredictorSettings rank_;
   /// Bound of the requests to a server while it is cold.
   ColdServerLimitSettings coldServers_;
+  /// Pace of servers that have just started, turned cold or recovered.
+  ServerPaceSettings pace_;
   ExtraAttemptBudgetSettings extraBudget_;
   /// Quantile, 0 to 1, of the latency of a route's first attempts that gives
   /// the delay of a hedge.
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -79,6 +79,9 @@
   , refusals_(aMetrics.Counter(
       "foxtail_forward_server_refusals_total",
       "Replies that state a time for which the server accepts no requests"))
+  , ramps_(aMetrics.Counter(
+      "foxtail_forward_server_ramps_total",
+      "Servers that got fewer requests after a start or a recovery"))
 {
   for (const auto& row : EnumTable<ZoneDistance>::kRows) {
     sent_[static_cast<size_t>(row.value_)] =
@@ -94,6 +97,7 @@
   const HeaderNames& aHeaderNames,
   ServerConnectionPoolContext& aShared,
   const ColdServerLimitSettings& aColdServers,
+  const ServerPaceSettings& aPace,
   const ServerAnnouncement& aAnnouncement,
   boost::asio::ip::tcp::endpoint aEndpoint,
   ZoneDistance aDistance,
@@ -106,6 +110,7 @@
   , distance_(aDistance)
   , roundTrip_(InitialRoundTrip(aDistance))
   , coldLimit_(aColdServers)
+  , pace_(aPace)
 {
   Update(aAnnouncement, aNow);
 }
@@ -144,10 +149,22 @@
       .Add("service", announcement_.service_)
       .Add("for_ms", ToMilliseconds(until - aNow))
       .Add("limited", coldLimit_.IsLimiting(aNow));
+    BeginPace(aNow);
   }
   wasCold_ = isCold;
 }
 
+void ServerConnectionPool::BeginPace(TimePoint aNow)
+{
+  if (pace_.Begin(aNow)) {
+    shared_.metrics_.ramps_.Increment();
+    LogLine(LogLevel::Info, "server_ramp")
+      .Add("server", announcement_.id_)
+      .Add("service", announcement_.service_)
+      .Add("share", pace_.Share(aNow));
+  }
+}
+
 void ServerConnectionPool::RecordWarmup(milliseconds aLeft, TimePoint aNow)
 {
   // A reply is newer than the announcements received so far.
@@ -421,6 +438,9 @@
                                             TimePoint aNow)
 {
   --connecting_;
+  if (unreachableBackoff_ > milliseconds(0)) {
+    BeginPace(aNow);
+  }
   unreachableBackoff_ = milliseconds(0);
   unreachableUntil_ = TimePoint{};
   // A busy server accepts connections late, so the minimum connect time is
@@ -543,6 +563,9 @@
       (1 - kFailureWeight) +
     (isServerFault ? kFailureWeight : 0);
   failureRateAt_ = aNow;
+  if (isServerFault) {
+    pace_.OnFailure(aExchange.sentAt_, aNow);
+  }
   if (aExchange.fault_ == ExchangeFault::WrongServer) {
     // Another server now has the announced address. A newer announcement
     // creates another pool; until then this server is avoided.
@@ -576,6 +599,7 @@
   } else {
     slowness_.OnReply(ratio, aExchange.sentAt_, aNow);
   }
+  pace_.OnReply(ratio, aExchange.sentAt_, aNow);
 }
 
 void ServerConnectionPool::RecordConnectFailure(TimePoint aNow)
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -9,6 +9,7 @@
 #include "policy/LatencyPredictor.h"
 #include "policy/RateLimitShare.h"
 #include "policy/ServerDirectory.h"
+#include "policy/ServerPace.h"
 #include "policy/ServerRefusal.h"
 #include "policy/SlowServerReporter.h"
 #include "policy/SlownessEstimator.h"
@@ -42,6 +43,8 @@
   prometheus::Counter& leavingServers_;
   /// Refusals that state a time for which the server accepts no requests.
   prometheus::Counter& refusals_;
+  /// Ramps of servers that have started, turned cold or recovered.
+  prometheus::Counter& ramps_;
 };
 
 /// State that all pools of an instance share.
@@ -70,6 +73,7 @@
                        const HeaderNames& aHeaderNames,
                        ServerConnectionPoolContext& aShared,
                        const ColdServerLimitSettings& aColdServers,
+                       const ServerPaceSettings& aPace,
                        const ServerAnnouncement& aAnnouncement,
                        boost::asio::ip::tcp::endpoint aEndpoint,
                        ZoneDistance aDistance,
@@ -116,6 +120,12 @@
   /// Send(), at NextPermitAt() or earlier to reserve it.
   void TakePermit(TimePoint aNow);
 
+  /// Starts the ramp of a server that has started while this instance was in
+  /// use.
+  void BeginPace(TimePoint aNow);
+  /// @return the share of requests, 0 to 1, for which the server is considered.
+  double PaceShare(TimePoint aNow) const { return pace_.Share(aNow); }
+
   /// Opens a connection for an expected request, unless an idle one or a
   /// pending connect would serve it.
   void Preconnect(TimePoint aNow);
@@ -243,6 +253,7 @@
   ServerRefusal refusal_;
   RateLimitShare rateShare_;
   ColdServerLimit coldLimit_;
+  ServerPace pace_;
   /// Requests per second that the server accepts from all instances together.
   std::optional<double> rateLimit_;
   /// When a reply last stated a limit.
--- a/src/policy/ServerPace.cpp
+++ b/src/policy/ServerPace.cpp
@@ -5,15 +5,16 @@
 
 namespace foxtail {
 
-void ServerPace::Begin(TimePoint aNow)
+bool ServerPace::Begin(TimePoint aNow)
 {
   if (!settings_.isEnabled_) {
-    return;
+    return false;
   }
   beganAt_ = aNow;
   share_ = settings_.initialShare_;
   changedAt_ = aNow;
   reducedAt_ = aNow;
+  return true;
 }
 
 bool ServerPace::IsRamping(TimePoint aNow) const
--- a/src/policy/ServerPace.h
+++ b/src/policy/ServerPace.h
@@ -43,7 +43,9 @@
   }
 
   /// Starts a ramp: the server has started, turned cold or recovered.
-  void Begin(TimePoint aNow);
+  ///
+  /// @return false when the pace is switched off.
+  bool Begin(TimePoint aNow);
   /// Counts a reply.
   ///
   /// @param aRatio its latency divided by the usual one.
