--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -11,6 +11,7 @@
 #include "policy/LatencyPredictor.h"
 #include "policy/LinkBacklog.h"
 #include "policy/ReplyLimits.h"
+#include "policy/ServerPace.h"
 #include "policy/StartupHold.h"
 #include "policy/ZoneMap.h"
 #include "team/TeamAccess.h"
@@ -54,6 +55,8 @@
   LatencyPredictorSettings rank_;
   /// Bound of the requests to a server while it is cold.
   ColdServerLimitSettings coldServers_;
+  /// Pace of servers that have just started, turned cold or recovered.
+  ServerPaceSettings pace_;
   ExtraAttemptBudgetSettings extraBudget_;
   /// Whether an earlier process of this instance may have used its share of the
   /// slack of extra attempts shortly before this one started.
