forward: only services with a stated warm-up time are paced

Cause: the pace of new servers took effect on every deployment.

Change: the ramp begins only where the document states a warm-up time of the service.

--- a/src/forward/BackendPoolSet.cpp
+++ b/src/forward/BackendPoolSet.cpp
@@ -94,6 +94,7 @@
   shared_.hasTeams_ = aTable.Teams() != nullptr;
   maxConnectionsByService_.clear();
   coldRateByService_.clear();
+  pacedServices_.clear();
   for (const RoutedService& service : aTable.Document().services_) {
     const double maxConnections =
       settings_.serverConnections_.connectionShare_ * service.maxConnections_ /
@@ -103,6 +104,9 @@
     if (service.warmupPerSecond_ > 0) {
       coldRateByService_[service.name_] = service.warmupPerSecond_;
     }
+    if (service.warmup_ > milliseconds::zero()) {
+      pacedServices_.insert(service.name_);
+    }
   }
   for (const auto& [service, pools] : byService_) {
     const auto found = maxConnectionsByService_.find(service);
@@ -111,6 +115,7 @@
                                 ? kUnknownServiceMaxConnections
                                 : found->second);
       pool->SetColdRate(ColdRateOf(service), aNow);
+      pool->SetPaced(pacedServices_.contains(service));
     }
   }
 }
@@ -286,6 +291,7 @@
                             : maxConnections->second);
   pool->SetInstances(instances_, aNow);
   pool->SetColdRate(ColdRateOf(aAnnouncement.service_), aNow);
+  pool->SetPaced(pacedServices_.contains(aAnnouncement.service_));
   pool->SetEvacuated(evacuatedZones_.contains(aAnnouncement.zone_), aNow);
   if (aHasStarted) {
     pool->BeginPace(aNow);
--- a/src/forward/BackendPoolSet.h
+++ b/src/forward/BackendPoolSet.h
@@ -7,6 +7,7 @@
 #include <absl/container/inlined_vector.h>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace foxtail {
 
@@ -153,6 +154,8 @@
   std::unordered_map<ServiceName, uint32_t> maxConnectionsByService_;
   /// Rates that cold servers tolerate, where the document states one.
   std::unordered_map<ServiceName, double> coldRateByService_;
+  /// Services whose document states a warm-up time.
+  std::unordered_set<ServiceName> pacedServices_;
   std::set<ZoneName> evacuatedZones_;
   uint32_t instances_ = 1;
 };
--- a/src/forward/ForwardSettings.h
+++ b/src/forward/ForwardSettings.h
@@ -56,6 +56,8 @@
   /// Bound of the requests to a server while it is cold.
   ColdServerLimitSettings coldServers_;
   /// Pace of servers that have just started, turned cold or recovered.
+  /// Pace of servers that have started or recovered, where the document states
+  /// a warm-up time of the service.
   ServerPaceSettings pace_;
   ExtraAttemptBudgetSettings extraBudget_;
   /// Whether an earlier process of this instance may have used its share of the
--- a/src/forward/ServerConnectionPool.cpp
+++ b/src/forward/ServerConnectionPool.cpp
@@ -159,7 +159,7 @@
 
 void ServerConnectionPool::BeginPace(TimePoint aNow)
 {
-  if (pace_.Begin(aNow)) {
+  if (isPaced_ && pace_.Begin(aNow)) {
     shared_.metrics_.ramps_.Increment();
     LogLine(LogLevel::Info, "server_ramp")
       .Add("server", announcement_.id_)
--- a/src/forward/ServerConnectionPool.h
+++ b/src/forward/ServerConnectionPool.h
@@ -128,6 +128,9 @@
   /// Starts the ramp of a server that has started while this instance was in
   /// use.
   void BeginPace(TimePoint aNow);
+  /// Sets whether the pace of this server is found from its replies after it
+  /// has started, turned cold or recovered.
+  void SetPaced(bool aIsPaced) { isPaced_ = aIsPaced; }
   /// @return the share of requests, 0 to 1, for which the server is considered.
   double PaceShare(TimePoint aNow) const { return pace_.Share(aNow); }
 
@@ -261,6 +264,7 @@
   RateLimitShare rateShare_;
   ColdServerLimit coldLimit_;
   ServerPace pace_;
+  bool isPaced_ = false;
   /// Requests per second that the server accepts from all instances together.
   std::optional<double> rateLimit_;
   /// When a reply last stated a limit.
