tests: a request whose key was checked is served after its wait for a permit

Cause: no test covered the check of a key and the wait for a permit together; the gate refuses a request that passes the check twice with 401. Change: a test from the caller's key to the server's header lines.

--- a/tests/forward/QuotaGateTest.cpp
+++ b/tests/forward/QuotaGateTest.cpp
@@ -1,6 +1,9 @@
+#include "../Support.h"
 #include "ForwardFixture.h"
 
 #include <doctest/doctest.h>
+#include <future>
+#include <thread>
 
 using namespace foxtail;
 
@@ -220,3 +223,30 @@
   CHECK(request.future_.get().source_ == AnswerSource::NotRun);
   CHECK(fixture.permits_.returned_ == 1);
 }
+
+// The gate begins a request a second time after the wait, when its key has been
+// removed.
+TEST_CASE("quota: a request whose key was checked is served after its wait")
+{
+  QuotaFixture fixture(nullptr);
+  auto response = std::async(std::launch::async, [&] {
+    HttpRequest request =
+      MakeRequest(boost::beast::http::verb::get, "/proofs/1");
+    request.set(boost::beast::http::field::authorization, "Bearer key-1");
+    return fixture.forward_.Send(std::move(request));
+  });
+  const auto isWaiting = [&] {
+    bool waits = false;
+    fixture.forward_.RunOnGatewayThread(
+      [&] { waits = !fixture.permits_.waits_.empty(); });
+    return waits;
+  };
+  REQUIRE(WaitUntil(isWaiting));
+  fixture.forward_.RunOnGatewayThread(
+    [&] { fixture.permits_.Answer(Permit{ Now() + seconds(1) }); });
+  CHECK(response.get().result_int() == 200);
+  const auto requests = fixture.server_.Requests();
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].find("Foxtail-Team: team-1\r\n") != std::string::npos);
+  CHECK(requests[0].find("key-1") == std::string::npos);
+}
