tests: a process of the client limits test never reads settings without limits

Cause: the test wrote the settings of a machine without its limits and then again with them, also right after the start of the process. With max_fds of 600 an instance takes 240 connections; only one without limits takes 400.

Change: the settings with the limits replace the file at once.

--- a/tests/system/client_limits_test.py
+++ b/tests/system/client_limits_test.py
@@ -55,15 +55,23 @@
         self.machine, self.write = machine, machine.write_settings
 
     def write_settings(self, seeds, is_first):
-        self.write(seeds, is_first)
-        path = os.path.join(self.machine.folder, "boot.json")
-        with open(path, encoding="utf-8") as file:
+        """Replaces the file at once, as a process may read it meanwhile and
+        would run without limits."""
+        folder = self.machine.folder
+        path = os.path.join(folder, "boot.json")
+        self.machine.folder = tempfile.mkdtemp(dir=folder)
+        draft = os.path.join(self.machine.folder, "boot.json")
+        try:
+            self.write(seeds, is_first)
+        finally:
+            self.machine.folder = folder
+        with open(draft, encoding="utf-8") as file:
             settings = json.load(file)
         settings["limits"] = {"memory_mb": MEMORY_MB,
                               "max_fds": MAX_DESCRIPTORS}
-        with open(path + ".new", "w", encoding="utf-8") as file:
+        with open(draft, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        os.replace(path + ".new", path)
+        os.replace(draft, path)
 
 
 def head(method, path, *lines):
