--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -131,6 +131,7 @@
         self.settings = os.path.join(self.folder, "boot.json")
         self.process = None
         self.front_port, self.ready_port, self.control_port = 8226, 8227, 8224
+        self.frames_port = 7740
 
     @property
     def front(self):
@@ -152,7 +153,7 @@
             "listen": {"control": self.control} if isControl else
             {"front": self.front,
              "ready": "%s:%d" % (self.address, self.ready_port)},
-            "internal_ports": [7740, 7755],
+            "internal_ports": [self.frames_port, 7755],
             "seeds": [c.control for c in self.deployment.controls[:3]],
             "bootstrap": first_start, "fault_counted": isControl,
             "limits": {"cpu_share": 0.3 if isControl else 0.25, "cores": 1,
@@ -240,7 +241,8 @@
             probes = []
             try:
                 for host in range(1, 30):
-                    for port in (METRICS_PORT, 7740, 7741, 8224, 8226):
+                    for port in (METRICS_PORT, *range(7740, 7756), 8080, 8224,
+                                 8226, 8227):
                         probe = socket.socket()
                         probes.append(probe)
                         probe.bind((prefix + str(host), port))
@@ -294,6 +296,70 @@
     raise CouldNotRun(what)
 
 
+class Proxy:
+    """Passes connections on to a machine. Connections that were made silent
+    stay open, and what is sent on them is dropped."""
+
+    def __init__(self, address, port, target):
+        self.target = target
+        self.lock = threading.Lock()
+        self.pairs = []
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((address, port))
+        self.listener.listen(64)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            try:
+                far = socket.create_connection(self.target, 1)
+            except OSError:
+                reset(near)
+                continue
+            far.settimeout(None)
+            pair = {"silent": False}
+            with self.lock:
+                self.pairs.append(pair)
+            for source, sink in ((near, far), (far, near)):
+                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self._pass, args=(source, sink, pair),
+                                 daemon=True).start()
+
+    @staticmethod
+    def _pass(source, sink, pair):
+        try:
+            while True:
+                data = source.recv(65536)
+                if pair["silent"]:
+                    if not data:
+                        return
+                    continue
+                if not data:
+                    break
+                sink.sendall(data)
+        except OSError:
+            pass
+        if not pair["silent"]:
+            for end in (source, sink):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def silence(self):
+        """Makes the present connections silent; new ones work."""
+        with self.lock:
+            count = sum(not pair["silent"] for pair in self.pairs)
+            for pair in self.pairs:
+                pair["silent"] = True
+        return count
+
+
 class Operator:
     """Sends orders as the page says: to one node that serves control, and after
     a second without a response, or a 5xx, to the next; follows a 307 twice."""
