feed: a renewal renews one process and its content

Cause: FeedRenewal stated id and sequence, and ServerDirectory::Renew raised the sequence of whichever process was stored. A control instance that had been paused renewed the earlier process, so the present one was stored with a sequence that it had never sent, and its draining was ignored as older. The paused instance was never corrected: it receives only servers that announce themselves to the sender, and the instance that had the announcement had restarted.

Evidence: `announcement` with the verdict `stale` states what is stored now: sequence 19 of a process against a stored 25 of the same start.

Change: a renewal states process, sequence and a hash of the content, and renews nothing else. An instance that lacks what is renewed requests all servers of that source. Control instances compare the digests that replies have, and request all servers when they differ for 1 s, at most each 10 s (DirectoryComparison). Renewals between control instances apply to the merged directory; they were lost for a server that had moved its announcements.

The two cases of test_feed fail on the code before ("a server that has started again*", "a control instance receives what a restarted*").

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -120,6 +120,17 @@
   feed_.OnPeerServers(aDirectory, aNow);
 }
 
+size_t EdgeControl::OnFeedRenewals(const std::vector<FeedRenewal>& aRenewals,
+                                   TimePoint aNow)
+{
+  return feed_.OnPeerRenewals(aRenewals, aNow);
+}
+
+uint64_t EdgeControl::ServersDigest()
+{
+  return feed_.Digest();
+}
+
 void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
 {
   boost::asio::post(workers_.Context(0),
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -75,6 +75,9 @@
   }
   void OnFeedServers(const ServerDirectory& aDirectory,
                      TimePoint aNow) override;
+  size_t OnFeedRenewals(const std::vector<FeedRenewal>& aRenewals,
+                        TimePoint aNow) override;
+  uint64_t ServersDigest() override;
   void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
   void OnFeedQuarantines(const std::vector<RequestQuarantine>&,
                          TimePoint) override
--- a/src/edge/ServerRegistration.cpp
+++ b/src/edge/ServerRegistration.cpp
@@ -36,19 +36,23 @@
     co_return status;
   }
   const auto result = feed_.OnAnnouncement(aAnnouncement, aNow);
+  const auto record = feed_.FindServer(aAnnouncement.id_);
   if (result != DirectoryUpdateResult::Renewed) {
-    LogLine(LogLevel::Info, "announcement")
-      .Add("server", aAnnouncement.id_)
+    LogLine line(LogLevel::Info, "announcement");
+    line.Add("server", aAnnouncement.id_)
       .Add("service", aAnnouncement.service_)
       .Add("address", aAnnouncement.address_)
       .Add("phase", NameOf(aAnnouncement.phase_))
       .Add("started_at_ms", aAnnouncement.startedAtMs_)
       .Add("sequence", aAnnouncement.sequence_)
       .Add("verdict", NameOf(result));
+    if (result == DirectoryUpdateResult::Stale && record.has_value()) {
+      line.Add("stored_started_at_ms", record->announcement_.startedAtMs_)
+        .Add("stored_sequence", record->announcement_.sequence_);
+    }
   }
   if (aAnnouncement.phase_ == ServerPhase::Ready ||
-      IsCommitted(feed_.FindServer(aAnnouncement.id_),
-                  aAnnouncement.startedAtMs_)) {
+      IsCommitted(record, aAnnouncement.startedAtMs_)) {
     co_return absl::OkStatus();
   }
   auto commit = Commit(std::move(aAnnouncement), aNow);
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -199,6 +199,9 @@
       !request.wantsServers_) {
     request.wait_ = std::min(request.wait_, settings_.serversTimeout_);
   }
+  if (aSource.comparison_.IsDifferent()) {
+    request.wait_ = std::min(request.wait_, aSource.comparison_.Tolerance());
+  }
   return request;
 }
 
@@ -341,9 +344,7 @@
   for (const FeedServer& server : aReply.servers_) {
     directory_.Apply(server.announcement_, aNow - server.age_);
   }
-  for (const FeedRenewal& renewal : aReply.renewals_) {
-    directory_.Renew(renewal.id_, renewal.sequence_, aNow - renewal.age_);
-  }
+  const size_t missing = ApplyRenewals(aReply, aNow);
   if (aRequest.wantsRenewals_) {
     renewedAt_ = aNow;
   }
@@ -363,12 +364,44 @@
   } else if (aReply.revision_ > aSource.cursor_) {
     aSource.missingServersSince_ = std::min(aSource.missingServersSince_, aNow);
   }
-  // A control instance passes renewals on to its own clients; an entry instance
-  // needs them for its directory alone.
-  const bool isRenewed = settings_.isControl_ && !aReply.renewals_.empty();
-  if (directory_.ChangeRevision() != before || isRenewed) {
+  if (directory_.ChangeRevision() != before) {
     listener_.OnFeedServers(directory_, aNow);
   }
+  RequestMissingServers(aSource,
+                        aReply,
+                        settings_.isControl_
+                          ? listener_.OnFeedRenewals(aReply.renewals_, aNow)
+                          : missing,
+                        aNow);
+}
+
+size_t FeedClient::ApplyRenewals(const FeedReply& aReply, TimePoint aNow)
+{
+  size_t missing = 0;
+  for (const auto& [renewal, age] : aReply.renewals_) {
+    if (directory_.Renew(renewal, aNow - age) == RenewalResult::Missing) {
+      ++missing;
+    }
+  }
+  return missing;
+}
+
+void FeedClient::RequestMissingServers(Source& aSource,
+                                       const FeedReply& aReply,
+                                       size_t aMissing,
+                                       TimePoint aNow)
+{
+  const bool isDifferent = settings_.isControl_ &&
+                           aSource.comparison_.OnCompared(
+                             aReply.digest_ == listener_.ServersDigest(), aNow);
+  if (aMissing == 0 && !isDifferent) {
+    return;
+  }
+  LogLine(LogLevel::Info, "servers_missing")
+    .Add("source_zone", aReply.zone_)
+    .Add("renewed", aMissing)
+    .Add("digest_differs", isDifferent);
+  aSource.cursor_ = 0;
 }
 
 void FeedClient::ApplySlowServers(const FeedReply& aReply, TimePoint aNow)
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -4,6 +4,7 @@
 #include "feed/FeedMessages.h"
 #include "instance/FrameTransport.h"
 #include "policy/CrashSuspects.h"
+#include "policy/DirectoryComparison.h"
 #include "policy/EvacuatedZones.h"
 #include "policy/SlowServerBoard.h"
 #include "policy/ZoneMap.h"
@@ -98,10 +99,20 @@
   virtual void OnFeedDocument(DocumentVersion aVersion,
                               const std::string& aText,
                               TimePoint aNow) = 0;
-  /// Called when an announced server has changed and, on a control instance,
-  /// when servers were renewed.
+  /// Called when an announced server has changed.
   virtual void OnFeedServers(const ServerDirectory& aDirectory,
                              TimePoint aNow) = 0;
+  /// Called on a control instance with the servers that another one has
+  /// renewed, after the changed servers of the same reply.
+  ///
+  /// @return number of servers whose announcements are missing here.
+  virtual size_t OnFeedRenewals(const std::vector<FeedRenewal>&, TimePoint)
+  {
+    return 0;
+  }
+  /// @return on a control instance, the digest of all its servers: those that
+  /// others sent and those that announce themselves to it.
+  virtual uint64_t ServersDigest() { return 0; }
   /// Called with servers that several entry instances found slow.
   virtual void OnFeedSlowServers(const std::vector<SlowServer>& aServers) = 0;
   /// Called with requests that may crash backend servers.
@@ -198,6 +209,8 @@
     /// Time since which the source has changes of servers that are missing
     /// here, or max().
     TimePoint missingServersSince_ = TimePoint::max();
+    /// Of the directories of two control instances.
+    DirectoryComparison comparison_;
     /// Document that the source has applied.
     DocumentVersion version_;
     bool hasReplied_ = false;
@@ -238,6 +251,17 @@
                     const FeedRequest& aRequest,
                     const FeedReply& aReply,
                     TimePoint aNow);
+  /// Applies the renewals of a reply.
+  ///
+  /// @return number of servers whose announcements are missing here.
+  size_t ApplyRenewals(const FeedReply& aReply, TimePoint aNow);
+  /// Requests all servers of a source if some are missing here.
+  ///
+  /// @param aMissing number of renewed servers that are missing.
+  void RequestMissingServers(Source& aSource,
+                             const FeedReply& aReply,
+                             size_t aMissing,
+                             TimePoint aNow);
   /// Sends the collected reports of slow servers after reportDelay_.
   boost::asio::awaitable<void> SendReports();
   /// Sends the collected reports of crashes after crashReportDelay_.
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -295,10 +295,14 @@
                                              row.isLeaving_));
   }
   std::vector<flatbuffers::Offset<wire::FeedRenewal>> renewals;
-  for (const FeedRenewal& renewal : aReply.renewals_) {
+  for (const auto& [renewal, age] : aReply.renewals_) {
     const auto id = builder.CreateString(renewal.id_.Value());
-    renewals.push_back(wire::CreateFeedRenewal(
-      builder, id, renewal.sequence_, ToMilliseconds32(renewal.age_)));
+    renewals.push_back(wire::CreateFeedRenewal(builder,
+                                               id,
+                                               renewal.sequence_,
+                                               ToMilliseconds32(age),
+                                               renewal.startedAtMs_,
+                                               renewal.contentHash_));
   }
   const auto controls = builder.CreateVectorOfStrings(aReply.controls_);
   flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text;
@@ -368,8 +372,10 @@
     reply.servers_.push_back(FromWire(*row));
   }
   for (const wire::FeedRenewal* row : *(*root)->renewals()) {
-    reply.renewals_.push_back({ BackendId(row->id()->str()),
-                                row->sequence(),
+    reply.renewals_.push_back({ { BackendId(row->id()->str()),
+                                  row->started_at_ms(),
+                                  row->sequence(),
+                                  row->content_hash() },
                                 milliseconds(row->age_ms()) });
   }
   for (const flatbuffers::String* control : *(*root)->controls()) {
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -103,11 +103,11 @@
   milliseconds age_{ 0 };
 };
 
-/// A backend server that announced itself again without a change.
+/// A backend server that announced itself again without a change, and the time
+/// since then.
 struct FeedRenewal
 {
-  BackendId id_;
-  uint64_t sequence_ = 0;
+  ServerRenewal renewal_;
   milliseconds age_{ 0 };
 };
 
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -4,6 +4,7 @@
 #include "core/Log.h"
 #include "core/Metrics.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -150,6 +151,23 @@
   }
 }
 
+size_t FeedSource::OnPeerRenewals(const std::vector<FeedRenewal>& aRenewals,
+                                  TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  return static_cast<size_t>(std::count_if(
+    aRenewals.begin(), aRenewals.end(), [&](const FeedRenewal& aRenewal) {
+      return directory_.Renew(aRenewal.renewal_, aNow - aRenewal.age_) ==
+             RenewalResult::Missing;
+    }));
+}
+
+uint64_t FeedSource::Digest()
+{
+  const std::lock_guard lock(mutex_);
+  return directory_.Digest();
+}
+
 bool FeedSource::RemoveExpired(TimePoint aNow)
 {
   if (!directory_.RemoveExpired(aNow)) {
@@ -371,8 +389,9 @@
 
 bool FeedSource::HasServerUpdates(const FeedRequest& aRequest) const
 {
+  const bool wantsAll = !aRequest.isControl_ || aRequest.cursor_ == 0;
   const uint64_t latest =
-    aRequest.isControl_ ? directRevision_ : directory_.ChangeRevision();
+    wantsAll ? directory_.ChangeRevision() : directRevision_;
   return aRequest.wantsServers_ && latest > aRequest.cursor_;
 }
 
@@ -402,8 +421,9 @@
     reply.compressedText_ = compressedText_;
   }
   for (const auto& [id, record] : directory_.Rows()) {
-    // A control instance with cursor 0 has just started and may lack servers
-    // that this one received from peers, so it receives those as well.
+    // A control instance with cursor 0 has just started, or differs from this
+    // one: it may lack servers that this one received from peers, so it
+    // receives those as well.
     // A leaving mark from here may be followed by a change from a peer within
     // one batch, so marked servers are always sent.
     const bool isFromPeer = aRequest.isControl_ && cursor != 0 &&
@@ -415,7 +435,7 @@
     } else if (aRequest.wantsRenewals_ &&
                IsRenewed(id, record, aRequest.isControl_, aNow)) {
       reply.renewals_.push_back(
-        { id, record.announcement_.sequence_, AgeOf(record, aNow) });
+        { MakeRenewal(record.announcement_), AgeOf(record, aNow) });
     }
   }
   const uint64_t knownSlow =
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -64,6 +64,15 @@
   /// @param aDirectory all servers received from other control instances.
   void OnPeerServers(const ServerDirectory& aDirectory, TimePoint aNow);
 
+  /// Applies renewals that another control instance sent.
+  ///
+  /// @return number of servers whose announcements are missing here.
+  size_t OnPeerRenewals(const std::vector<FeedRenewal>& aRenewals,
+                        TimePoint aNow);
+
+  /// @return the digest of all servers, see ServerDirectory::Digest().
+  uint64_t Digest();
+
   /// Sets the accepted document; one that is not newer is ignored.
   void OnDocument(DocumentVersion aVersion,
                   const std::shared_ptr<const std::string>& aText);
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -794,7 +794,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_SEQUENCE = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_STARTED_AT_MS = 10,
+    VT_CONTENT_HASH = 12
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -805,12 +807,20 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t started_at_ms() const {
+    return GetField<uint64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint64_t content_hash() const {
+    return GetField<uint64_t>(VT_CONTENT_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
            verifier.EndTable();
   }
 };
@@ -828,6 +838,12 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(FeedRenewal::VT_AGE_MS, age_ms, 0);
   }
+  void add_started_at_ms(uint64_t started_at_ms) {
+    fbb_.AddElement<uint64_t>(FeedRenewal::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_content_hash(uint64_t content_hash) {
+    fbb_.AddElement<uint64_t>(FeedRenewal::VT_CONTENT_HASH, content_hash, 0);
+  }
   explicit FeedRenewalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -844,8 +860,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     uint64_t sequence = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t started_at_ms = 0,
+    uint64_t content_hash = 0) {
   FeedRenewalBuilder builder_(_fbb);
+  builder_.add_content_hash(content_hash);
+  builder_.add_started_at_ms(started_at_ms);
   builder_.add_sequence(sequence);
   builder_.add_age_ms(age_ms);
   builder_.add_id(id);
@@ -856,13 +876,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     uint64_t sequence = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t started_at_ms = 0,
+    uint64_t content_hash = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return foxtail::wire::CreateFeedRenewal(
       _fbb,
       id__,
       sequence,
-      age_ms);
+      age_ms,
+      started_at_ms,
+      content_hash);
 }
 
 struct FeedReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/policy/ServerDirectory.cpp
+++ b/src/policy/ServerDirectory.cpp
@@ -26,22 +26,6 @@
                    "announcement rejected: " + aReason);
 }
 
-uint64_t ContentHash(const ServerAnnouncement& aAnnouncement)
-{
-  const bool isUnset = aAnnouncement.id_.Value().empty();
-  if (isUnset || aAnnouncement.phase_ == ServerPhase::Gone) {
-    return 0;
-  }
-  const std::string text =
-    aAnnouncement.id_.Value() + ' ' + aAnnouncement.service_.Value() + ' ' +
-    aAnnouncement.address_ + ' ' + aAnnouncement.zone_.Value() + ' ' +
-    std::to_string(aAnnouncement.slots_) + ' ' +
-    std::string(NameOf(aAnnouncement.phase_)) + ' ' +
-    std::to_string(aAnnouncement.startedAtMs_) +
-    (aAnnouncement.isLeaving_ ? " leaving" : "");
-  return XXH3_64bits(text.data(), text.size());
-}
-
 /// @return whether an announcement changes when a server's warm-up ends: the
 /// server has turned cold, stays cold for longer, or is warm earlier.
 bool IsWarmupChanged(const ServerRecord& aStored,
@@ -65,6 +49,30 @@
 
 } // namespace
 
+uint64_t ContentHash(const ServerAnnouncement& aAnnouncement)
+{
+  const bool isUnset = aAnnouncement.id_.Value().empty();
+  if (isUnset || aAnnouncement.phase_ == ServerPhase::Gone) {
+    return 0;
+  }
+  const std::string text =
+    aAnnouncement.id_.Value() + ' ' + aAnnouncement.service_.Value() + ' ' +
+    aAnnouncement.address_ + ' ' + aAnnouncement.zone_.Value() + ' ' +
+    std::to_string(aAnnouncement.slots_) + ' ' +
+    std::string(NameOf(aAnnouncement.phase_)) + ' ' +
+    std::to_string(aAnnouncement.startedAtMs_) +
+    (aAnnouncement.isLeaving_ ? " leaving" : "");
+  return XXH3_64bits(text.data(), text.size());
+}
+
+ServerRenewal MakeRenewal(const ServerAnnouncement& aAnnouncement)
+{
+  return { aAnnouncement.id_,
+           aAnnouncement.startedAtMs_,
+           aAnnouncement.sequence_,
+           ContentHash(aAnnouncement) };
+}
+
 absl::Status Validate(const ServerAnnouncement& aAnnouncement,
                       WallTime aWallNow)
 {
@@ -261,20 +269,32 @@
   return result;
 }
 
-void ServerDirectory::Renew(const BackendId& aId,
-                            uint64_t aSequence,
-                            TimePoint aReceivedAt)
+RenewalResult ServerDirectory::Renew(const ServerRenewal& aRenewal,
+                                     TimePoint aReceivedAt)
 {
-  const auto found = rows_.find(aId);
-  if (found == rows_.end() ||
-      found->second.announcement_.phase_ == ServerPhase::Gone) {
-    return;
+  const bool hasDeregistered = aRenewal.contentHash_ == 0;
+  const auto found = rows_.find(aRenewal.id_);
+  if (found == rows_.end()) {
+    return hasDeregistered ? RenewalResult::Ignored : RenewalResult::Missing;
   }
   ServerAnnouncement& stored = found->second.announcement_;
-  stored.sequence_ = std::max(stored.sequence_, aSequence);
+  if (aRenewal.startedAtMs_ != stored.startedAtMs_) {
+    return aRenewal.startedAtMs_ < stored.startedAtMs_ ? RenewalResult::Ignored
+                                                       : RenewalResult::Missing;
+  }
+  if (stored.phase_ == ServerPhase::Gone) {
+    return RenewalResult::Ignored;
+  }
+  if (aRenewal.contentHash_ != ContentHash(stored)) {
+    return !hasDeregistered && aRenewal.sequence_ < stored.sequence_
+             ? RenewalResult::Ignored
+             : RenewalResult::Missing;
+  }
+  stored.sequence_ = std::max(stored.sequence_, aRenewal.sequence_);
   const TimePoint warmupEndsAt = found->second.WarmupEndsAt();
   RecordUpdate(found->second, false, aReceivedAt);
   SetReceivedAt(found->second, warmupEndsAt, aReceivedAt);
+  return RenewalResult::Renewed;
 }
 
 bool ServerDirectory::RemoveExpired(TimePoint aNow)
--- a/src/policy/ServerDirectory.h
+++ b/src/policy/ServerDirectory.h
@@ -56,6 +56,26 @@
   bool isLeaving_ = false;
 };
 
+/// @return a hash of what an announcement states, without its sequence and the
+/// rest of the warm-up; the same in each process. 0 for a deregistered server.
+uint64_t ContentHash(const ServerAnnouncement& aAnnouncement);
+
+/// States that a server has announced itself again without a change, in place
+/// of its whole announcement.
+struct ServerRenewal
+{
+  BackendId id_;
+  /// Start of the process that counts sequence_.
+  uint64_t startedAtMs_ = 0;
+  /// Sequence of the latest announcement.
+  uint64_t sequence_ = 0;
+  /// ContentHash() of that announcement.
+  uint64_t contentHash_ = 0;
+};
+
+/// @return the renewal that stands for an announcement.
+ServerRenewal MakeRenewal(const ServerAnnouncement& aAnnouncement);
+
 /// Checks what a server announces of itself. An announcement may come from
 /// anybody, and is kept and passed on by each control and entry instance, so
 /// one of any size, or with a start that no later process can exceed, must not
@@ -92,6 +112,28 @@
   } };
 };
 
+enum class RenewalResult
+{
+  /// The last announcement time and the sequence were updated.
+  Renewed,
+  /// It belongs to an earlier process, to content that has changed since or to
+  /// a server that has deregistered.
+  Ignored,
+  /// The directory lacks the server, its process or the content that is
+  /// renewed: the announcement is needed.
+  Missing,
+};
+
+template<>
+struct EnumTable<RenewalResult>
+{
+  static constexpr std::array<EnumName<RenewalResult>, 3> kRows{ {
+    { RenewalResult::Renewed, "renewed" },
+    { RenewalResult::Ignored, "ignored" },
+    { RenewalResult::Missing, "missing" },
+  } };
+};
+
 /// Directory entry of one backend server.
 struct ServerRecord
 {
@@ -152,9 +194,12 @@
                                     uint64_t aStartedAtMs,
                                     TimePoint aNow);
 
-  /// Updates the last announcement time of a server whose announcement with
-  /// this sequence another instance received.
-  void Renew(const BackendId& aId, uint64_t aSequence, TimePoint aReceivedAt);
+  /// Updates the last announcement time and the sequence of a server that
+  /// another instance has received an announcement of. A sequence orders only
+  /// the announcements of one process, and one with new content must not be
+  /// outranked by a renewal of it, so the stored process and content must be
+  /// those that are renewed.
+  RenewalResult Renew(const ServerRenewal& aRenewal, TimePoint aReceivedAt);
 
   /// Removes records without an announcement for kExpireAfter.
   ///
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -123,6 +123,12 @@
   {
     own_.feed_.OnPeerServers(aDirectory, aNow);
   }
+  size_t OnFeedRenewals(const std::vector<FeedRenewal>& aRenewals,
+                        TimePoint aNow) override
+  {
+    return own_.feed_.OnPeerRenewals(aRenewals, aNow);
+  }
+  uint64_t ServersDigest() override { return own_.feed_.Digest(); }
   void OnFeedSlowServers(const std::vector<SlowServer>&) override {}
   void OnFeedQuarantines(const std::vector<RequestQuarantine>&,
                          TimePoint) override
@@ -146,10 +152,11 @@
   explicit Client(
     std::vector<std::string> aSeeds,
     const char* aName = "entry-1",
-    milliseconds aSourceExpiry = FeedClientSettings{}.sourceExpiry_)
+    milliseconds aSourceExpiry = FeedClientSettings{}.sourceExpiry_,
+    milliseconds aRenewalInterval = FeedClientSettings{}.renewalInterval_)
     : pool_(1)
     , frames_(FrameSettings(aName), pool_)
-    , feed_(SettingsOf(std::move(aSeeds), aSourceExpiry),
+    , feed_(SettingsOf(std::move(aSeeds), aSourceExpiry, aRenewalInterval),
             frames_,
             pool_.Context(0),
             *this)
@@ -194,10 +201,12 @@
 
 private:
   static FeedClientSettings SettingsOf(std::vector<std::string> aSeeds,
-                                       milliseconds aSourceExpiry)
+                                       milliseconds aSourceExpiry,
+                                       milliseconds aRenewalInterval)
   {
     FeedClientSettings settings;
     settings.sourceExpiry_ = aSourceExpiry;
+    settings.renewalInterval_ = aRenewalInterval;
     settings.maxRenewalAge_ = kMaxRenewalAge;
     settings.zones_ = ZoneMap(ZoneName("zone-a"),
                               { { "north", { ZoneName("zone-a") } },
@@ -257,7 +266,7 @@
   reply.revision_ = 7;
   reply.hasAllEntryInstances_ = true;
   reply.servers_ = { { MakeAnnouncement("i-1", 4), milliseconds(20) } };
-  reply.renewals_ = { { BackendId("i-2"), 8, milliseconds(30) } };
+  reply.renewals_ = { { { BackendId("i-2"), 1700, 8, 99 }, milliseconds(30) } };
   reply.controls_ = { "127.0.0.1:1" };
   reply.entryInstances_ = 6;
   reply.zone_ = ZoneName("zone-a");
@@ -270,7 +279,11 @@
   CHECK(decoded->revision_ == 7);
   CHECK(decoded->hasAllEntryInstances_);
   CHECK(decoded->servers_[0].announcement_.sequence_ == 4);
-  CHECK(decoded->renewals_[0].id_ == BackendId("i-2"));
+  const ServerRenewal& renewal = decoded->renewals_[0].renewal_;
+  CHECK(renewal.id_ == BackendId("i-2"));
+  CHECK(renewal.startedAtMs_ == 1700);
+  CHECK(renewal.sequence_ == 8);
+  CHECK(renewal.contentHash_ == 99);
   CHECK(decoded->controls_ == reply.controls_);
   CHECK(decoded->zone_ == reply.zone_);
   CHECK(decoded->evacuatedZones_ == reply.evacuatedZones_);
@@ -425,6 +438,68 @@
   CHECK(one.feed_.FindServer(BackendId("i-1"))->announcement_.sequence_ == 2);
 }
 
+// A control instance that was paused while a server started again under its id
+// went on renewing the earlier process. The renewals raised the sequence of the
+// new process's record, and its draining was ignored as older.
+TEST_CASE("feed: a server that has started again drains beside renewals of its "
+          "earlier process")
+{
+  Source paused("control-1", "zone-a");
+  Source running("control-2", "zone-b");
+  const BackendId id("i-1");
+  ServerAnnouncement restarted = MakeAnnouncement("i-1", 1);
+  restarted.startedAtMs_ = 2;
+  paused.feed_.OnAnnouncement(MakeAnnouncement("i-1", 100), Now());
+  running.feed_.OnAnnouncement(restarted, Now());
+  Client client({ paused.Endpoint(), running.Endpoint() },
+                "entry-1",
+                FeedClientSettings{}.sourceExpiry_,
+                milliseconds(300));
+  const auto phase = [&] {
+    const ServerRecord* row = client.feed_.Directory().Find(id);
+    return row == nullptr || row->announcement_.startedAtMs_ != 2
+             ? ServerPhase::Gone
+             : row->announcement_.phase_;
+  };
+  REQUIRE(client.WaitFor([&] { return phase() == ServerPhase::Ready; }));
+  // Several intervals of renewals by the nearest source, the paused one.
+  std::this_thread::sleep_for(milliseconds(2500));
+  restarted.sequence_ = 2;
+  restarted.phase_ = ServerPhase::Draining;
+  running.feed_.OnAnnouncement(restarted, Now());
+  CHECK(client.WaitFor([&] { return phase() == ServerPhase::Draining; }));
+}
+
+// A control instance that was paused received changes only from the instance
+// that servers had announced them to, so none when that one had restarted.
+TEST_CASE("feed: a control instance receives what a restarted one had sent to "
+          "a third")
+{
+  const uint16_t port = FreePort();
+  Source paused("control-1", "zone-a");
+  Source running("control-3", "zone-c");
+  auto restarting =
+    std::make_unique<Source>("control-2", "zone-b", Now(), port, 78);
+  const BackendId id("i-1");
+  const auto startOf = [&](Source& aSource) {
+    const auto record = aSource.feed_.FindServer(id);
+    return record.has_value() ? record->announcement_.startedAtMs_ : 0;
+  };
+  paused.feed_.OnAnnouncement(MakeAnnouncement("i-1", 100), Now());
+  // Something to synchronize with before the server starts again.
+  running.feed_.OnAnnouncement(MakeNumberedAnnouncement(7), Now());
+  PeerClient toRunning(paused, running.Endpoint());
+  PeerClient toRestarting(running, restarting->Endpoint());
+  REQUIRE(WaitUntil(
+    [&] { return paused.feed_.FindServer(BackendId("i-7")).has_value(); }));
+  ServerAnnouncement restarted = MakeAnnouncement("i-1", 1);
+  restarted.startedAtMs_ = 2;
+  restarting->feed_.OnAnnouncement(restarted, Now());
+  REQUIRE(WaitUntil([&] { return startOf(running) == 2; }));
+  restarting.reset();
+  CHECK(WaitUntil([&] { return startOf(paused) == 2; }));
+}
+
 // After a partition of two minutes, an instance removed the servers that had
 // not changed meanwhile, and did not receive them again.
 TEST_CASE("feed: servers that live are kept over a partition of any length")
--- a/tests/policy/ServerDirectoryTest.cpp
+++ b/tests/policy/ServerDirectoryTest.cpp
@@ -202,9 +202,10 @@
         DirectoryUpdateResult::Renewed);
   CHECK(directory.Apply(announce(4, seconds(6)), kStart + milliseconds(3300)) ==
         DirectoryUpdateResult::Renewed);
-  directory.Renew(BackendId("a"), 5, kStart + seconds(4));
+  directory.Renew(MakeRenewal(announce(5, seconds(5))), kStart + seconds(4));
   CHECK(endsAt() == kStart + milliseconds(9300));
-  directory.Renew(BackendId("a"), 6, kStart + seconds(30));
+  directory.Renew(MakeRenewal(announce(6, milliseconds(0))),
+                  kStart + seconds(30));
   CHECK(endsAt() <= kStart + seconds(30));
   CHECK(directory.Apply(announce(7, milliseconds(0)), kStart + seconds(31)) ==
         DirectoryUpdateResult::Renewed);
@@ -219,7 +220,8 @@
   ServerDirectory directory;
   directory.Apply(Announce("a", "1:1", 10, 1), kStart);
   CHECK_FALSE(directory.RemoveExpired(kStart + ServerDirectory::kExpireAfter));
-  directory.Renew(BackendId("a"), 2, kStart + seconds(30));
+  directory.Renew(MakeRenewal(Announce("a", "1:1", 10, 2)),
+                  kStart + seconds(30));
   CHECK_FALSE(directory.RemoveExpired(kStart + ServerDirectory::kExpireAfter +
                                       seconds(1)));
   CHECK(directory.RemoveExpired(kStart + ServerDirectory::kExpireAfter +
@@ -227,6 +229,90 @@
   CHECK(directory.Rows().empty());
 }
 
+// A sequence was compared with those of other processes of the same id, and was
+// raised without the content that it belongs to.
+TEST_CASE("directory: a renewal is of one process and its content")
+{
+  struct Row
+  {
+    const char* name_;
+    ServerAnnouncement stored_;
+    ServerAnnouncement renewed_;
+    RenewalResult result_;
+  };
+  const std::vector<Row> rows{
+    { "the same process",
+      Announce("a", "1:1", 10, 3),
+      Announce("a", "1:1", 10, 9),
+      RenewalResult::Renewed },
+    { "an earlier process",
+      Announce("a", "1:1", 10, 3),
+      Announce("a", "1:1", 5, 9),
+      RenewalResult::Ignored },
+    { "a later process",
+      Announce("a", "1:1", 10, 3),
+      Announce("a", "1:1", 11, 1),
+      RenewalResult::Missing },
+    { "a server that is not known",
+      Announce("b", "1:2", 10, 3),
+      Announce("a", "1:1", 10, 3),
+      RenewalResult::Missing },
+    { "content of before a change",
+      Announce("a", "1:1", 10, 3, ServerPhase::Draining),
+      Announce("a", "1:1", 10, 2),
+      RenewalResult::Ignored },
+    { "content of after a change",
+      Announce("a", "1:1", 10, 3),
+      Announce("a", "1:1", 10, 5, ServerPhase::Draining),
+      RenewalResult::Missing },
+    { "a deregistration",
+      Announce("a", "1:1", 10, 3),
+      Announce("a", "1:1", 10, 1, ServerPhase::Gone),
+      RenewalResult::Missing },
+    { "a server that has deregistered",
+      Announce("a", "1:1", 10, 3, ServerPhase::Gone),
+      Announce("a", "1:1", 10, 9),
+      RenewalResult::Ignored },
+    { "a later process of a server that has deregistered",
+      Announce("a", "1:1", 10, 3, ServerPhase::Gone),
+      Announce("a", "1:1", 11, 1),
+      RenewalResult::Missing },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    ServerDirectory directory;
+    directory.Apply(row.stored_, kStart);
+    CHECK(directory.Renew(MakeRenewal(row.renewed_), kStart + seconds(1)) ==
+          row.result_);
+    const ServerRecord* record = directory.Find(row.stored_.id_);
+    const bool isRenewed = row.result_ == RenewalResult::Renewed;
+    CHECK(record->announcement_.sequence_ ==
+          (isRenewed ? row.renewed_ : row.stored_).sequence_);
+    CHECK(record->lastAnnouncementAt_ ==
+          (isRenewed ? kStart + seconds(1) : kStart));
+  }
+}
+
+// The draining of a server that had started again was committed and ignored.
+TEST_CASE("directory: a committed departure applies after any renewals")
+{
+  const ServerAnnouncement earlier = Announce("a", "1:1", 10, 100);
+  const ServerAnnouncement draining =
+    Announce("a", "1:1", 20, 2, ServerPhase::Draining);
+  ServerDirectory directory;
+  directory.Apply(earlier, kStart);
+  directory.Apply(Announce("a", "1:1", 20, 1), kStart);
+  directory.Renew(MakeRenewal(earlier), kStart);
+  // The next announcement of the draining server, renewed by an instance that
+  // has applied the departure already.
+  ServerAnnouncement next = draining;
+  next.sequence_ = 3;
+  CHECK(directory.Renew(MakeRenewal(next), kStart) == RenewalResult::Missing);
+  CHECK(directory.ApplyCommitted(draining, kStart) ==
+        DirectoryUpdateResult::Changed);
+  CHECK(PhaseOf(directory, "a") == ServerPhase::Draining);
+}
+
 TEST_CASE("directory: a deregistration applies even if another instance has a "
           "later announcement")
 {
