instance: a renewal does not outrank the change that it follows

What callers would see: an owner of a server that drains goes on using it, and spreads it as ready again.

Cause: AnnouncementSpreadState::HandleRenewals raised the sequence of the stored row, whatever its content. A renewal that overtakes the change that it follows, or arrives when that was lost, gave the content of before a sequence above that of the change, which was ignored from then on.

Change: renewals state a hash of the content, and raise the sequence of the same content only. They renew the lease in any case. In messages of earlier releases the hash is absent; their renewals raise no sequence.

--- a/src/instance/AnnouncementMessages.cpp
+++ b/src/instance/AnnouncementMessages.cpp
@@ -89,9 +89,12 @@
   }
   std::vector<wire::RenewalRow> renewals;
   renewals.reserve(aMessage.renewals_.size());
+  std::vector<uint64_t> renewalContents;
+  renewalContents.reserve(aMessage.renewals_.size());
   for (const Renewal& renewal : aMessage.renewals_) {
     renewals.emplace_back(
       renewal.nameHash_, renewal.incarnation_.Value(), renewal.sequence_);
+    renewalContents.push_back(renewal.contentHash_);
   }
   std::vector<wire::ZoneHash> digests;
   digests.reserve(aMessage.digests_.size());
@@ -112,6 +115,8 @@
     withdrawals.empty() ? 0 : builder.CreateVector(withdrawals);
   const auto renewalVector =
     renewals.empty() ? 0 : builder.CreateVectorOfStructs(renewals);
+  const auto renewalContentVector =
+    renewals.empty() ? 0 : builder.CreateVector(renewalContents);
   const auto digestVector =
     digests.empty() ? 0 : builder.CreateVectorOfStructs(digests);
   const auto buckets = aMessage.bucketHashes_.empty()
@@ -128,7 +133,8 @@
                                     digestVector,
                                     zone,
                                     buckets,
-                                    aMessage.wantedBuckets_));
+                                    aMessage.wantedBuckets_,
+                                    renewalContentVector));
   return FinishedBytes(builder);
 }
 
@@ -165,9 +171,16 @@
     }
   }
   if (wireMessage.renewals() != nullptr) {
-    for (const wire::RenewalRow* row : *wireMessage.renewals()) {
-      message.renewals_.push_back(
-        { row->name_hash(), Incarnation(row->incarnation()), row->sequence() });
+    // Absent in messages of earlier releases.
+    const auto* contents = wireMessage.renewal_contents();
+    for (flatbuffers::uoffset_t i = 0; i < wireMessage.renewals()->size();
+         ++i) {
+      const wire::RenewalRow* row = wireMessage.renewals()->Get(i);
+      const bool hasContent = contents != nullptr && i < contents->size();
+      message.renewals_.push_back({ row->name_hash(),
+                                    Incarnation(row->incarnation()),
+                                    row->sequence(),
+                                    hasContent ? contents->Get(i) : 0 });
     }
   }
   if (wireMessage.hashes() != nullptr) {
--- a/src/instance/AnnouncementMessages.h
+++ b/src/instance/AnnouncementMessages.h
@@ -62,6 +62,8 @@
   uint64_t nameHash_ = 0;
   Incarnation incarnation_;
   uint64_t sequence_ = 0;
+  /// Hash of the content that the server announced with this sequence.
+  uint64_t contentHash_ = 0;
 };
 
 struct ZoneDigest
--- a/src/instance/AnnouncementSpreadState.cpp
+++ b/src/instance/AnnouncementSpreadState.cpp
@@ -481,7 +481,8 @@
       if (owner != self_) {
         byOwner[owner].push_back({ row.nameHash_,
                                    row.row_.announcement_.incarnation_,
-                                   row.row_.announcement_.sequence_ });
+                                   row.row_.announcement_.sequence_,
+                                   row.contentHash_ });
       }
     }
   }
@@ -517,7 +518,11 @@
     if (renewal.sequence_ <= stored.sequence_) {
       continue;
     }
-    stored.sequence_ = renewal.sequence_;
+    // A renewal may overtake the change that it follows. It must not give its
+    // sequence to the content of before, which would then outrank the change.
+    if (renewal.contentHash_ == rows_.at(server->second).contentHash_) {
+      stored.sequence_ = renewal.sequence_;
+    }
     const auto lease = leases_.find(server->second);
     if (lease != leases_.end()) {
       lease->second.renewedAt_ = aNow;
--- a/src/instance/announcement_generated.h
+++ b/src/instance/announcement_generated.h
@@ -385,7 +385,8 @@
     VT_HASHES = 16,
     VT_ZONE = 18,
     VT_BUCKETS = 20,
-    VT_WANTED_BUCKETS = 22
+    VT_WANTED_BUCKETS = 22,
+    VT_RENEWAL_CONTENTS = 24
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -417,6 +418,9 @@
   uint64_t wanted_buckets() const {
     return GetField<uint64_t>(VT_WANTED_BUCKETS, 0);
   }
+  const flatbuffers::Vector<uint64_t> *renewal_contents() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RENEWAL_CONTENTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -439,6 +443,8 @@
            VerifyOffset(verifier, VT_BUCKETS) &&
            verifier.VerifyVector(buckets()) &&
            VerifyField<uint64_t>(verifier, VT_WANTED_BUCKETS, 8) &&
+           VerifyOffset(verifier, VT_RENEWAL_CONTENTS) &&
+           verifier.VerifyVector(renewal_contents()) &&
            verifier.EndTable();
   }
 };
@@ -477,6 +483,9 @@
   void add_wanted_buckets(uint64_t wanted_buckets) {
     fbb_.AddElement<uint64_t>(AnnouncementMessage::VT_WANTED_BUCKETS, wanted_buckets, 0);
   }
+  void add_renewal_contents(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewal_contents) {
+    fbb_.AddOffset(AnnouncementMessage::VT_RENEWAL_CONTENTS, renewal_contents);
+  }
   explicit AnnouncementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -499,9 +508,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const foxtail::wire::ZoneHash *>> hashes = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> buckets = 0,
-    uint64_t wanted_buckets = 0) {
+    uint64_t wanted_buckets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> renewal_contents = 0) {
   AnnouncementMessageBuilder builder_(_fbb);
   builder_.add_wanted_buckets(wanted_buckets);
+  builder_.add_renewal_contents(renewal_contents);
   builder_.add_buckets(buckets);
   builder_.add_zone(zone);
   builder_.add_hashes(hashes);
@@ -525,7 +536,8 @@
     const std::vector<foxtail::wire::ZoneHash> *hashes = nullptr,
     const char *zone = nullptr,
     const std::vector<uint64_t> *buckets = nullptr,
-    uint64_t wanted_buckets = 0) {
+    uint64_t wanted_buckets = 0,
+    const std::vector<uint64_t> *renewal_contents = nullptr) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto origin__ = origin ? _fbb.CreateString(origin) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::AnnouncementRow>>(*rows) : 0;
@@ -534,6 +546,7 @@
   auto hashes__ = hashes ? _fbb.CreateVectorOfStructs<foxtail::wire::ZoneHash>(*hashes) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto buckets__ = buckets ? _fbb.CreateVector<uint64_t>(*buckets) : 0;
+  auto renewal_contents__ = renewal_contents ? _fbb.CreateVector<uint64_t>(*renewal_contents) : 0;
   return foxtail::wire::CreateAnnouncementMessage(
       _fbb,
       kind,
@@ -545,7 +558,8 @@
       hashes__,
       zone__,
       buckets__,
-      wanted_buckets);
+      wanted_buckets,
+      renewal_contents__);
 }
 
 inline const foxtail::wire::AnnouncementMessage *GetAnnouncementMessage(const void *buf) {
--- a/tests/instance/AnnouncementSpreadTest.cpp
+++ b/tests/instance/AnnouncementSpreadTest.cpp
@@ -536,6 +536,61 @@
   }));
 }
 
+// An owner that received a renewal before the change that it follows gave the
+// content of before a higher sequence, and ignored the change from then on.
+TEST_CASE("a change applies after a renewal that overtook it")
+{
+  const ZoneName zone("z0");
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  auto view = std::make_shared<MembershipView>();
+  view->zone_ = zone;
+  for (const char* name : { "owner", "receiver" }) {
+    Member member;
+    member.instance_ = InstanceId(name);
+    member.zone_ = zone;
+    member.endpoint_ = name;
+    view->members_.push_back(member);
+  }
+  const auto makeState = [&](const char* aName) {
+    auto state = std::make_unique<AnnouncementSpreadState>(
+      AnnouncementSpreadSettings{}, InstanceId(aName), zone, aName, 1);
+    state->SetView(view, now);
+    return state;
+  };
+  const auto owner = makeState("owner");
+  const auto receiver = makeState("receiver");
+  const auto rowOf = [&](uint64_t aSequence, BackendState aState) {
+    AnnouncementMessage message;
+    message.kind_ = AnnouncementMessageKind::Spread;
+    message.endpoint_ = "receiver";
+    message.origin_ = InstanceId("receiver");
+    message.rows_ = { { MakeAnnouncement("b", "z0", aSequence, aState),
+                        zone } };
+    return message;
+  };
+  owner->OnMessage(rowOf(1, BackendState::Ready), now);
+  REQUIRE(owner->TakeEffects().changed_.size() == 1);
+  for (const uint64_t sequence : { 10, 11 }) {
+    receiver->OnServerAnnouncement(
+      MakeAnnouncement("b", "z0", sequence, BackendState::Draining), now);
+  }
+  receiver->OnTick(now);
+  size_t renewals = 0;
+  for (const OutgoingAnnouncements& outgoing :
+       receiver->TakeEffects().messages_) {
+    if (outgoing.message_.kind_ == AnnouncementMessageKind::Renewals) {
+      ++renewals;
+      const auto received =
+        DecodeAnnouncements(EncodeAnnouncements(outgoing.message_));
+      REQUIRE(received.ok());
+      owner->OnMessage(*received, now);
+    }
+  }
+  REQUIRE(renewals == 1);
+  owner->OnMessage(rowOf(10, BackendState::Draining), now);
+  CHECK(owner->TakeEffects().changed_.size() == 1);
+}
+
 TEST_CASE("malformed announcement messages are refused or decoded to valid "
           "rows")
 {
