control: an order of evacuation that is read late undoes no later one

What callers saw: an operator began, ended and began the evacuation of a zone, all acknowledged.

Cause: the command states the number of orders that were known, so that the state machine refuses a late one. The instance took that number when it read the order, and anew for each attempt. An instance cannot know when an order was sent, and neither can a clock, which may stand still with the machine.

Evidence: the paused instance logged `evacuations_applied` revisions 3 and 4 before `evacuation_committed` of the late order.

Change: an order that would change the set is answered with a redirect that states the number of orders. A sender that still waits follows it, and the number is compared with that of the replicated state. CommandForwarder ends at a refusal, and makes no command anew. Orders that find the zone as ordered are confirmed as before.

Tests: in EvacuationApiTest, EvacuationTest and EdgeTest, and in evacuation_test.py, senders follow redirects as the platform's operators do; the checks of the outcomes are the same.

`test_platform -tc="evacuation API: an order that is read late*"` and the case `paused` of evacuation_test.py fail on the code before.

--- a/src/control/CommandForwarder.cpp
+++ b/src/control/CommandForwarder.cpp
@@ -18,8 +18,7 @@
 
 absl::Status NotAppliedError()
 {
-  return MakeError(ErrorKind::Conflict,
-                   "another command was applied first; send it again");
+  return MakeError(ErrorKind::Conflict, "another command was applied first");
 }
 
 } // namespace
@@ -42,7 +41,13 @@
     // g++ 12 destroys temporaries within an awaited expression twice.
     auto attempt =
       CommitOnce(aMake, std::clamp(left, milliseconds(1), kAttemptTimeout));
-    status = co_await std::move(attempt);
+    const absl::Status before =
+      std::exchange(status, co_await std::move(attempt));
+    if (KindOf(status) == ErrorKind::Conflict) {
+      // An attempt whose outcome is unknown may be what this one conflicts
+      // with.
+      co_return before.ok() ? status : before;
+    }
     if (status.ok() || Now() + kRetryPause >= aDeadline) {
       break;
     }
--- a/src/control/CommandForwarder.h
+++ b/src/control/CommandForwarder.h
@@ -17,9 +17,11 @@
   CommandForwarder(ReplicatedControl& aControl, FrameTransport& aFrames);
 
   /// Commits a command; repeated until @p aDeadline while no leader confirms
-  /// that it was applied. Committing it more than once must be harmless.
+  /// it. Committing it more than once must be harmless.
   ///
-  /// @return the error of the last attempt when the outcome is unknown.
+  /// @return Conflict when the command was refused and no attempt before can
+  /// have applied it; the error of the last attempt when the outcome is
+  /// unknown.
   boost::asio::awaitable<absl::Status> Commit(CommandFactory aMake,
                                               TimePoint aDeadline);
 
--- a/src/control/EvacuationLog.cpp
+++ b/src/control/EvacuationLog.cpp
@@ -2,46 +2,153 @@
 
 #include "core/Log.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace foxtail {
+namespace {
+
+constexpr std::string_view kCounterName =
+  "foxtail_control_evacuation_orders_total";
+constexpr std::string_view kCounterText =
+  "Orders to begin or end an evacuation";
+constexpr milliseconds kStatePollInterval{ 10 };
+
+/// Adds the outcome to a log line.
+struct OutcomeFields
+{
+  LogLine& line_;
+
+  void operator()(const EvacuationCommitted&) const {}
+  void operator()(const EvacuationUnproved& aOutcome) const
+  {
+    line_.Add("known_orders", aOutcome.knownOrders_);
+  }
+  void operator()(const EvacuationUnconfirmed& aOutcome) const
+  {
+    line_.Add("error", aOutcome.reason_);
+  }
+};
+
+std::string_view EventOf(const EvacuationOutcome& aOutcome)
+{
+  constexpr std::array<std::string_view, 3> kEvents{ "evacuation_committed",
+                                                     "evacuation_unproved",
+                                                     "evacuation_unconfirmed" };
+  return kEvents[aOutcome.index()];
+}
+
+} // namespace
 
 EvacuationLog::EvacuationLog(ReplicatedControl& aControl,
                              FrameTransport& aFrames,
                              Metrics& aMetrics)
-  : forwarder_(aControl, aFrames)
-  , committed_(aMetrics.Counter("foxtail_control_evacuation_orders_total",
-                                "Orders to begin or end an evacuation",
+  : control_(aControl)
+  , forwarder_(aControl, aFrames)
+  , committed_(aMetrics.Counter(std::string(kCounterName),
+                                std::string(kCounterText),
                                 { { "result", "committed" } }))
-  , notCommitted_(aMetrics.Counter("foxtail_control_evacuation_orders_total",
-                                   "Orders to begin or end an evacuation",
+  , unproved_(aMetrics.Counter(std::string(kCounterName),
+                               std::string(kCounterText),
+                               { { "result", "unproved" } }))
+  , notCommitted_(aMetrics.Counter(std::string(kCounterName),
+                                   std::string(kCounterText),
                                    { { "result", "not_committed" } }))
 {
 }
 
-boost::asio::awaitable<absl::Status> EvacuationLog::Commit(ZoneName aZone,
-                                                           bool aIsEvacuated,
-                                                           TimePoint aDeadline)
+boost::asio::awaitable<EvacuationOutcome> EvacuationLog::Commit(
+  EvacuationOrder aOrder,
+  TimePoint aDeadline)
 {
   const TimePoint begin = Now();
-  // Made anew for each attempt, as an attempt fails when another order was
-  // applied since this instance's state.
-  CommandFactory make = [aZone, aIsEvacuated](const ControlState& aState) {
-    return SetEvacuation{ aZone,
-                          aIsEvacuated,
-                          aState.Evacuations().GetRows().orders_ };
-  };
   // g++ 12 destroys temporaries within an awaited expression twice.
+  auto trial = TryCommit(aOrder, aDeadline);
+  const EvacuationOutcome outcome = co_await std::move(trial);
+  const std::array<prometheus::Counter*, 3> counters{ &committed_,
+                                                      &unproved_,
+                                                      &notCommitted_ };
+  counters[outcome.index()]->Increment();
+  const bool isUnconfirmed =
+    std::holds_alternative<EvacuationUnconfirmed>(outcome);
+  LogLine line(isUnconfirmed ? LogLevel::Warning : LogLevel::Info,
+               EventOf(outcome));
+  line.Add("zone", aOrder.zone_)
+    .Add("evacuated", aOrder.isEvacuated_)
+    .Add("after_ms", ToMilliseconds(Now() - begin));
+  if (aOrder.knownOrders_) {
+    line.Add("stated_orders", *aOrder.knownOrders_);
+  }
+  std::visit(OutcomeFields{ line }, outcome);
+  co_return outcome;
+}
+
+boost::asio::awaitable<EvacuationOutcome> EvacuationLog::TryCommit(
+  EvacuationOrder aOrder,
+  TimePoint aDeadline)
+{
+  auto reading = ReadLocalState(aOrder);
+  LocalState state = co_await std::move(reading);
+  if (!state.command_) {
+    if (!state.admin_) {
+      co_return EvacuationUnconfirmed{
+        "this instance is not in the control group yet"
+      };
+    }
+    co_return EvacuationUnproved{ state.orders_, *state.admin_ };
+  }
+  CommandFactory make = [command = *state.command_](const ControlState&) {
+    return command;
+  };
   auto commit = forwarder_.Commit(std::move(make), aDeadline);
   const absl::Status status = co_await std::move(commit);
-  (status.ok() ? committed_ : notCommitted_).Increment();
-  LogLine line(status.ok() ? LogLevel::Info : LogLevel::Warning,
-               status.ok() ? "evacuation_committed" : "evacuation_unconfirmed");
-  line.Add("zone", aZone)
-    .Add("evacuated", aIsEvacuated)
-    .Add("after_ms", ToMilliseconds(Now() - begin));
-  if (!status.ok()) {
-    line.Add("error", status);
+  if (status.ok()) {
+    co_return EvacuationCommitted{};
+  }
+  if (KindOf(status) != ErrorKind::Conflict) {
+    co_return EvacuationUnconfirmed{ std::string(status.message()) };
+  }
+  aOrder.knownOrders_ = state.command_->knownOrders_;
+  auto waiting = AwaitLaterOrder(std::move(aOrder), aDeadline);
+  co_return co_await std::move(waiting);
+}
+
+boost::asio::awaitable<EvacuationLog::LocalState> EvacuationLog::ReadLocalState(
+  EvacuationOrder aOrder)
+{
+  auto inspection =
+    control_.Inspect([order = std::move(aOrder)](const ConsensusNode& aNode,
+                                                 const ControlState& aState) {
+      const EvacuationTable& table = aState.Evacuations();
+      const GroupMember* self = aNode.CurrentMembership().Find(aNode.Self());
+      return LocalState{ table.MakeCommand(order),
+                         table.GetRows().orders_,
+                         self == nullptr ? std::nullopt
+                                         : std::optional(self->admin_) };
+    });
+  co_return co_await std::move(inspection);
+}
+
+boost::asio::awaitable<EvacuationOutcome> EvacuationLog::AwaitLaterOrder(
+  EvacuationOrder aOrder,
+  TimePoint aDeadline)
+{
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+  while (true) {
+    auto reading = ReadLocalState(aOrder);
+    LocalState state = co_await std::move(reading);
+    if (state.orders_ > *aOrder.knownOrders_ && state.admin_) {
+      co_return EvacuationUnproved{ state.orders_, *state.admin_ };
+    }
+    if (Now() + kStatePollInterval >= aDeadline) {
+      co_return EvacuationUnconfirmed{
+        "this instance lacks an order that was applied first"
+      };
+    }
+    timer.expires_after(kStatePollInterval);
+    co_await timer.async_wait(boost::asio::use_awaitable);
   }
-  co_return status;
 }
 
 } // namespace foxtail
--- a/src/control/EvacuationTable.cpp
+++ b/src/control/EvacuationTable.cpp
@@ -21,4 +21,17 @@
   return { true, rows_.revision_ };
 }
 
+std::optional<SetEvacuation> EvacuationTable::MakeCommand(
+  const EvacuationOrder& aOrder) const
+{
+  const bool isChange =
+    rows_.zones_.contains(aOrder.zone_) != aOrder.isEvacuated_;
+  if (isChange && !aOrder.knownOrders_) {
+    return std::nullopt;
+  }
+  return SetEvacuation{ aOrder.zone_,
+                        aOrder.isEvacuated_,
+                        aOrder.knownOrders_.value_or(rows_.orders_) };
+}
+
 } // namespace foxtail
--- a/tests/control/ControlMember.h
+++ b/tests/control/ControlMember.h
@@ -84,17 +84,34 @@
   /// Cuts the instance off: it neither sends nor receives frames any more.
   void CutOff() { frames_.Stop(); }
 
-  /// @return the outcome of an order by way of this instance.
-  absl::Status Evacuate(const char* aZone,
-                        bool aIsEvacuated,
-                        milliseconds aTimeout = milliseconds(850))
+  /// @return the outcome of one order that this instance receives.
+  EvacuationOutcome Receive(const EvacuationOrder& aOrder)
   {
-    auto commit =
-      evacuations_.Commit(ZoneName(aZone), aIsEvacuated, Now() + aTimeout);
+    auto commit = evacuations_.Commit(aOrder, Now() + milliseconds(850));
     return boost::asio::co_spawn(
              pool_.Context(0), std::move(commit), boost::asio::use_future)
       .get();
   }
+  /// Sends an order to this instance, and sends it again with the number of
+  /// known orders that the instance states, at most twice.
+  ///
+  /// @return whether it was confirmed.
+  absl::Status Evacuate(const char* aZone, bool aIsEvacuated)
+  {
+    EvacuationOrder order{ ZoneName(aZone), aIsEvacuated, std::nullopt };
+    for (int sent = 0; sent < 3; ++sent) {
+      const EvacuationOutcome outcome = Receive(order);
+      if (std::holds_alternative<EvacuationCommitted>(outcome)) {
+        return absl::OkStatus();
+      }
+      const auto* unproved = std::get_if<EvacuationUnproved>(&outcome);
+      if (unproved == nullptr) {
+        break;
+      }
+      order.knownOrders_ = unproved->knownOrders_;
+    }
+    return absl::UnavailableError("not confirmed");
+  }
   /// @return the evacuations of which the listener was last notified; unknown
   /// if it was not.
   EvacuatedZones Notified()
--- a/tests/control/EvacuationTest.cpp
+++ b/tests/control/EvacuationTest.cpp
@@ -2,6 +2,7 @@
 #include "control/control_generated.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 #include <thread>
 
 using namespace foxtail;
@@ -104,6 +105,65 @@
   CHECK_FALSE(ApplyOrder(other, "zone-a", true, 0).isApplied_);
 }
 
+// An instance that was paused read an order that its sender had given up, had
+// carried out by another instance and had taken back by a later order. It made
+// the command from the state that it had then, and the later order was undone.
+TEST_CASE("evacuation: an order that is read late does not undo a later one")
+{
+  CHECK(rc::check("the set is that of the last confirmed order", [] {
+    ControlState state;
+    std::vector<EvacuationOrder> abandoned;
+    bool isEvacuated = false;
+    const ZoneName zone("zone-a");
+    // What an instance does with an order that it reads.
+    const auto receive = [&](const EvacuationOrder& aOrder) {
+      const auto command = state.Evacuations().MakeCommand(aOrder);
+      return command && ApplyOrder(state,
+                                   command->zone_.Value().c_str(),
+                                   command->isEvacuated_,
+                                   command->knownOrders_)
+                          .isApplied_;
+    };
+    const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    for (const int step : steps) {
+      if (step < 2) {
+        // The sender leaves copies of its order, with and without the number of
+        // known orders, at instances that do not reply.
+        const bool isBegin = step == 1;
+        EvacuationOrder order{ zone, isBegin, std::nullopt };
+        abandoned.push_back(order);
+        if (!receive(order)) {
+          order.knownOrders_ = state.Evacuations().GetRows().orders_;
+          abandoned.push_back(order);
+          RC_ASSERT(receive(order));
+        }
+        isEvacuated = isBegin;
+      } else if (!abandoned.empty()) {
+        receive(abandoned[*rc::gen::inRange<size_t>(0, abandoned.size())]);
+      }
+      RC_ASSERT(state.Evacuations().GetRows().zones_.contains(zone) ==
+                isEvacuated);
+    }
+  }));
+}
+
+TEST_CASE("evacuation: an instance that lags confirms an order with the number "
+          "of orders that it learns of")
+{
+  Group group;
+  REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
+  // The number of before that order, as of an instance that has not applied it.
+  const auto outcome =
+    group.Follower(1).Receive({ ZoneName("zone-a"), false, 0 });
+  const auto* unproved = std::get_if<EvacuationUnproved>(&outcome);
+  REQUIRE(unproved != nullptr);
+  CHECK(unproved->knownOrders_ == 1);
+  CHECK(group.Follower(1).Notified().Names() == "zone-a");
+  CHECK(std::holds_alternative<EvacuationCommitted>(group.Follower(1).Receive(
+    { ZoneName("zone-a"), false, unproved->knownOrders_ })));
+}
+
 TEST_CASE("evacuation: a snapshot keeps the set and its revision")
 {
   ControlState state;
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -272,14 +272,21 @@
     ControlSettingsFor(folder, port), *std::move(data), [] {});
   REQUIRE(control.Start().ok());
   REQUIRE(WaitUntil([&] { return control.IsLeader(); }));
-  const auto evacuate = [&](bool aIsEvacuated) {
-    auto order = control.Evacuations().Commit(
-      ZoneName("zone-b"), aIsEvacuated, Now() + milliseconds(850));
+  const auto send = [&](const EvacuationOrder& aOrder) {
+    auto commit =
+      control.Evacuations().Commit(aOrder, Now() + milliseconds(850));
     return boost::asio::co_spawn(control.Workers().Context(0),
-                                 std::move(order),
+                                 std::move(commit),
                                  boost::asio::use_future)
-      .get()
-      .ok();
+      .get();
+  };
+  const auto evacuate = [&](bool aIsEvacuated) {
+    EvacuationOrder order{ ZoneName("zone-b"), aIsEvacuated, std::nullopt };
+    const EvacuationOutcome outcome = send(order);
+    const auto* unproved = std::get_if<EvacuationUnproved>(&outcome);
+    REQUIRE(unproved != nullptr);
+    order.knownOrders_ = unproved->knownOrders_;
+    return std::holds_alternative<EvacuationCommitted>(send(order));
   };
   auto commit = control.Documents().Commit(DocumentVersion(1), "proofs");
   boost::asio::co_spawn(
--- a/tests/forward/CallerPortTest.cpp
+++ b/tests/forward/CallerPortTest.cpp
@@ -59,6 +59,36 @@
 
 } // namespace
 
+// An instance that was paused must not carry out what callers have given up
+// meanwhile, and may have sent elsewhere.
+TEST_CASE("a request that is read after its caller has left is sent to no "
+          "server")
+{
+  ScriptedServer server(OwnReply());
+  ForwardFixture fixture;
+  fixture.SetRoutes(SingleRoutes({ "proofs" }, RouteEffect::AtMostOnce));
+  fixture.Announce("i-1", "proofs", server.Address());
+  // Leaves a connection to the server open.
+  REQUIRE(fixture.Get("/proofs/1").result_int() == 200);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(std::make_unique<Caller>(fixture));
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  fixture.RunOnGatewayThread([&] {
+    for (auto& caller : callers) {
+      caller->Send(kRequest);
+      if (caller != callers.back()) {
+        caller.reset();
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  });
+  CHECK(callers.back()->ReadSome().starts_with("HTTP/1.1 200"));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(server.Requests().size() == 2);
+}
+
 TEST_CASE("a planned stop under load answers every request that was accepted")
 {
   // The gateway's thread is busy while callers connect and send, and handles
--- a/tests/platform/EvacuationApiTest.cpp
+++ b/tests/platform/EvacuationApiTest.cpp
@@ -48,6 +48,22 @@
                                  boost::asio::use_future)
       .get();
   }
+  /// Sends an order as operators do, who follow two redirects.
+  HttpResponse Order(const std::string& aPath)
+  {
+    HttpResponse response = Post(aPath);
+    for (int i = 0; i < 2 && response.result_int() == 307; ++i) {
+      response = Post(TargetOf(response));
+    }
+    return response;
+  }
+  /// @return path and query of a redirect's location.
+  static std::string TargetOf(const HttpResponse& aRedirect)
+  {
+    const std::string location(aRedirect["Location"]);
+    constexpr size_t kScheme = std::string_view("http://").size();
+    return location.substr(location.find('/', kScheme));
+  }
   EdgeControl& Control() { return control_; }
 
 private:
@@ -63,6 +79,7 @@
     settings.control_.instance_ = settings.instance_;
     settings.control_.endpoint_ =
       "127.0.0.1:" + std::to_string(settings.frames_.port_);
+    settings.control_.admin_ = "127.0.0.1:1";
     settings.control_.goal_.voters_ = 1;
     settings.control_.bootstrapDelay_ = milliseconds(10);
     settings.control_.consensus_.electionTimeout_ = milliseconds(100);
@@ -89,7 +106,7 @@
                             "/Evacuation.Finish/zone-a",
                             "/Evacuation.Finish/zone-b" }) {
     CAPTURE(path);
-    CHECK(instance.Post(path).result_int() == 200);
+    CHECK(instance.Order(path).result_int() == 200);
   }
   for (const char* path : { "/Evacuation.Start/zone-x",
                             "/Evacuation.Finish/zone-x",
@@ -104,6 +121,36 @@
         404);
 }
 
+// The operator had given the order up and sent it to another instance, and the
+// one that read it late confirmed it after the opposite order.
+TEST_CASE("evacuation API: an order that is read late does not undo a later "
+          "one")
+{
+  Instance instance(true);
+  REQUIRE(WaitUntil([&] { return instance.Control().IsLeader(); }));
+  REQUIRE(instance.Order("/Evacuation.Start/zone-a").result_int() == 200);
+  const HttpResponse redirect = instance.Post("/Evacuation.Finish/zone-a");
+  REQUIRE(instance.Order("/Evacuation.Finish/zone-a").result_int() == 200);
+  REQUIRE(instance.Order("/Evacuation.Start/zone-a").result_int() == 200);
+  SUBCASE("as it was sent at first")
+  {
+    CHECK(instance.Post("/Evacuation.Finish/zone-a").result_int() == 307);
+  }
+  SUBCASE("as it was sent after a redirect")
+  {
+    REQUIRE(redirect.result_int() == 307);
+    CHECK(instance.Post(Instance::TargetOf(redirect)).result_int() == 307);
+  }
+  SUBCASE("with a number that cannot be read")
+  {
+    CHECK(
+      instance.Post("/Evacuation.Finish/zone-a?known_orders=4x").result_int() ==
+      307);
+  }
+  // An order that finds the zone as ordered is confirmed without a redirect.
+  CHECK(instance.Post("/Evacuation.Start/zone-a").result_int() == 200);
+}
+
 TEST_CASE("evacuation API: an order that no control group can commit is not "
           "acknowledged, and is answered within a second")
 {
--- a/tests/system/evacuation_test.py
+++ b/tests/system/evacuation_test.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import unittest
@@ -20,6 +21,8 @@
 RESTART_S = 3.0
 ZONE = "b"
 LOSSES = ["none", "leader", "controls", "all"]
+MAX_REDIRECTS = 2
+PAUSE_S = 3.0
 
 
 class EvacuationTest(unittest.TestCase):
@@ -44,25 +47,59 @@
             for loss in LOSSES:
                 with self.subTest(loss):
                     await self.check(deployment, server, loss)
+            with self.subTest("paused"):
+                await self.check_late_order(deployment, server)
         finally:
             await deployment.stop()
 
+    async def send(self, machine, name):
+        """Sends an order once and follows redirects. Returns the status, 0 when
+        there is no reply within the second that operators wait."""
+        address = f"{machine.address}:{wire.CONTROL_PORT}"
+        target = f"/Evacuation.{name}/{ZONE}"
+        for _ in range(MAX_REDIRECTS + 1):
+            try:
+                status, headers, _ = await call(address, "POST", target)
+            except CALL_FAILURES:
+                return 0
+            if status != 307:
+                break
+            address, _, path = headers["location"].removeprefix(
+                "http://").partition("/")
+            target = "/" + path
+        return status
+
     async def order(self, deployment, name, first):
         """Sends an order by turns to the control instances, as operators do."""
         controls = deployment.fleet.controls
         for attempt in range(40):
             machine = controls[(first + attempt) % len(controls)]
-            try:
-                status, _, _ = await call(
-                    f"{machine.address}:{wire.CONTROL_PORT}", "POST",
-                    f"/Evacuation.{name}/{ZONE}")
-            except CALL_FAILURES:
-                status = 0
-            if status == 200:
+            if await self.send(machine, name) == 200:
                 return machine
             await asyncio.sleep(0.25)
         raise AssertionError(f"{name}: no control instance acknowledged")
 
+    async def check_late_order(self, deployment, server):
+        """An instance that was paused reads an order that the operator has
+        given up, sent to another instance and taken back since."""
+        controls = deployment.fleet.controls
+        await self.order(deployment, "Start", 0)
+        leader = await deployment.find_leader()
+        paused = next(machine for machine in controls if machine is not leader)
+        paused.send(signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        first = controls.index(paused)
+        self.assertEqual(await self.send(paused, "Finish"), 0)
+        await self.order(deployment, "Finish", first + 1)
+        await self.order(deployment, "Start", first + 1)
+        acknowledged = deployment.world.now()
+        await asyncio.sleep(PAUSE_S)
+        paused.send(signal.SIGCONT)
+        await asyncio.sleep(EVACUATE_S + OBSERVED_S)
+        late = [run.at - acknowledged for run in deployment.runs_at(
+            server, acknowledged + EVACUATE_S)]
+        self.assertEqual(late, [], f"{paused.name} was paused")
+
     async def check_unknown_zone(self, deployment):
         machine = deployment.fleet.controls[0]
         status, _, body = await call(
