control: operators' orders state what they were decided on

What operators would see: an order of the administration API that is read late, after its sender has given it up and a later one was carried out, undoes the later one.

Cause: POST /v1/evacuations took the number of known orders from the state at the time of reading. POST /v1/members removed whichever incarnation of an instance was a member.

Change: `known_orders` is a required field of an evacuation, from `orders` of the GET on which the operator decided; foxtailctl sends it, and the console the one of its page. A removal states the `incarnation` that /v1/status lists.

Tests: console_test.py compares the whole answer of the GET, which has one field more; the forms of ConsoleTest state the number.

--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/http/verb.hpp>
 #include <charconv>
+#include <limits>
 
 namespace foxtail {
 namespace {
@@ -161,14 +162,15 @@
   };
 }
 
-boost::json::value EvacuationsBody(const std::set<ZoneName>& aZones,
-                                   uint64_t aRevision)
+boost::json::value EvacuationsBody(const EvacuationTable::Rows& aRows)
 {
   boost::json::array zones;
-  for (const ZoneName& zone : aZones) {
+  for (const ZoneName& zone : aRows.zones_) {
     zones.emplace_back(zone.Value());
   }
-  return { { "zones", std::move(zones) }, { "revision", aRevision } };
+  return { { "zones", std::move(zones) },
+           { "revision", aRows.revision_ },
+           { "orders", aRows.orders_ } };
 }
 
 } // namespace
@@ -444,8 +446,7 @@
   if (!rows.ok()) {
     co_return co_await FailureResponse(rows.status());
   }
-  co_return MakeResponse(HttpStatus::ok,
-                         EvacuationsBody(rows->zones_, rows->revision_));
+  co_return MakeResponse(HttpStatus::ok, EvacuationsBody(*rows));
 }
 
 boost::asio::awaitable<HttpResponse> AdminApi::PostEvacuation(
@@ -471,25 +472,20 @@
   JsonReader reader(*body, "", faults);
   const ZoneName zone(reader.RequiredString("zone"));
   const bool isEvacuated = reader.Bool("evacuated", true);
+  const auto knownOrders = static_cast<uint64_t>(reader.RequiredInteger(
+    "known_orders", 0, std::numeric_limits<int64_t>::max()));
   reader.Finish();
   if (!faults.IsEmpty()) {
     co_return FaultsResponse("the order is refused", faults);
   }
-  auto visit = [](const ControlState& aState) {
-    return aState.Evacuations().GetRows().orders_;
-  };
-  auto reading = control_.Read(std::move(visit), kQuorumTimeout);
-  const auto knownOrders = co_await std::move(reading);
-  if (!knownOrders.ok()) {
-    co_return co_await FailureResponse(knownOrders.status());
-  }
   auto submission = control_.Submit(
-    SetEvacuation{ zone, isEvacuated, *knownOrders }, kQuorumTimeout);
+    SetEvacuation{ zone, isEvacuated, knownOrders }, kQuorumTimeout);
   const auto result = co_await std::move(submission);
   LogLine(LogLevel::Info, "evacuation_ordered")
     .Add("operator", (*authenticated)->name_)
     .Add("zone", zone)
     .Add("evacuated", isEvacuated)
+    .Add("known_orders", knownOrders)
     .Add("result", result.status());
   if (!result.ok()) {
     co_return co_await FailureResponse(result.status());
@@ -529,7 +525,12 @@
   }
   JsonFaults faults;
   JsonReader reader(*body, "", faults);
-  const InstanceId removed(reader.RequiredString("remove"));
+  // A removal that is read late must not meet a later incarnation.
+  const MemberId removed{
+    InstanceId(reader.RequiredString("remove")),
+    Incarnation(static_cast<uint64_t>(reader.RequiredInteger(
+      "incarnation", 0, std::numeric_limits<int64_t>::max())))
+  };
   reader.Finish();
   if (!faults.IsEmpty()) {
     co_return FaultsResponse("the request is refused", faults);
@@ -538,10 +539,11 @@
     co_await control_.RemoveMember(removed, kQuorumTimeout);
   LogLine(LogLevel::Info, "member_removal_asked")
     .Add("operator", (*authenticated)->name_)
-    .Add("member", removed)
+    .Add("member", ToText(removed))
     .Add("result", status);
   if (status.ok()) {
-    co_return MakeResponse(HttpStatus::ok, { { "removed", removed.Value() } });
+    co_return MakeResponse(HttpStatus::ok,
+                           { { "removed", removed.instance_.Value() } });
   }
   const ErrorKind kind = KindOf(status);
   if (kind == ErrorKind::NotFound || kind == ErrorKind::Conflict ||
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -241,13 +241,13 @@
 }
 
 boost::asio::awaitable<absl::Status> ReplicatedControl::RemoveMember(
-  InstanceId aInstance,
+  MemberId aMember,
   milliseconds aTimeout)
 {
   using Result = absl::StatusOr<CommandResult>;
-  auto start = [this, aTimeout, aInstance](auto aHandler) {
+  auto start = [this, aTimeout, aMember](auto aHandler) {
     Post(RemoveMemberRequest{
-      aInstance, Now() + aTimeout, WrapHandler<Result>(std::move(aHandler)) });
+      aMember, Now() + aTimeout, WrapHandler<Result>(std::move(aHandler)) });
   };
   const Result result =
     co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>,
@@ -499,12 +499,12 @@
   Membership next = node_->CurrentMembership();
   const size_t removed =
     std::erase_if(next.members_, [&](const GroupMember& aMember) {
-      return aMember.id_.instance_ == aRequest.instance_;
+      return aMember.id_ == aRequest.member_;
     });
   if (removed == 0) {
     aRequest.handler_(MakeError(ErrorKind::NotFound,
                                 "no such member; /v1/status lists the "
-                                "members"));
+                                "members and their incarnations"));
     return;
   }
   const auto proposal = node_->ProposeMembership(std::move(next), now_);
@@ -513,7 +513,7 @@
     return;
   }
   LogLine(LogLevel::Info, "member_removed")
-    .Add("member", aRequest.instance_)
+    .Add("member", ToText(aRequest.member_))
     .Add("reason", "requested by an operator");
   TrackProposal(*proposal, aRequest.deadline_, std::move(aRequest.handler_));
 }
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -96,7 +96,9 @@
     milliseconds aTimeout);
 
   /// Removes a permanently lost instance from the membership.
-  boost::asio::awaitable<absl::Status> RemoveMember(InstanceId aInstance,
+  ///
+  /// @return NotFound when this incarnation is no member.
+  boost::asio::awaitable<absl::Status> RemoveMember(MemberId aMember,
                                                     milliseconds aTimeout);
 
   /// Linearizable read: calls @p aVisit(const ControlState&) on the control
@@ -183,7 +185,7 @@
   };
   struct RemoveMemberRequest
   {
-    InstanceId instance_;
+    MemberId member_;
     TimePoint deadline_;
     SubmitHandler handler_;
   };
--- a/src/operator/AdminClient.cpp
+++ b/src/operator/AdminClient.cpp
@@ -150,6 +150,11 @@
   return faults;
 }
 
+uint64_t OrdersOf(const boost::json::value& aEvacuations)
+{
+  return NumberOf(aEvacuations, "orders");
+}
+
 AdminClient::AdminClient(AdminClientSettings aSettings)
   : settings_(std::move(aSettings))
 {
@@ -217,12 +222,16 @@
   co_return std::move(sent.reply_);
 }
 
-asio::awaitable<absl::StatusOr<AdminReply>>
-AdminClient::Evacuate(std::string aZone, bool aIsEvacuated, std::string aToken)
+asio::awaitable<absl::StatusOr<AdminReply>> AdminClient::Evacuate(
+  std::string aZone,
+  bool aIsEvacuated,
+  uint64_t aKnownOrders,
+  std::string aToken)
 {
   boost::json::object body;
   body["zone"] = aZone;
   body["evacuated"] = aIsEvacuated;
+  body["known_orders"] = aKnownOrders;
   Sent sent = co_await Send(verb::post,
                             "/v1/evacuations",
                             std::move(aToken),
--- a/src/operator/AdminClient.h
+++ b/src/operator/AdminClient.h
@@ -84,6 +84,10 @@
 /// @return the faults that the API listed in @p aBody.
 std::vector<JsonFault> ReadFaults(const boost::json::value& aBody);
 
+/// @param aEvacuations body of the API's evacuations.
+/// @return the number of evacuation orders; 0 if the body has none.
+uint64_t OrdersOf(const boost::json::value& aEvacuations);
+
 /// Talks to the administration API of whichever control instance answers, and
 /// follows it to the leader. Thread safe: each call has a connection of its
 /// own.
@@ -111,9 +115,14 @@
   /// Orders the begin or the end of the evacuation of a zone, which may be
   /// repeated without a further effect.
   ///
+  /// @param aKnownOrders number of orders when the operator decided, from
+  /// OrdersOf(). The order is refused if there was another one since.
   /// @return like Get().
-  boost::asio::awaitable<absl::StatusOr<AdminReply>>
-  Evacuate(std::string aZone, bool aIsEvacuated, std::string aToken);
+  boost::asio::awaitable<absl::StatusOr<AdminReply>> Evacuate(
+    std::string aZone,
+    bool aIsEvacuated,
+    uint64_t aKnownOrders,
+    std::string aToken);
 
 private:
   /// What became of a request to all control instances.
--- a/src/operator/ConsolePages.cpp
+++ b/src/operator/ConsolePages.cpp
@@ -1,5 +1,6 @@
 #include "operator/ConsolePages.h"
 
+#include "operator/AdminClient.h"
 #include "operator/Html.h"
 
 #include <algorithm>
@@ -447,6 +448,8 @@
   WriteMenu(html, aSession);
   WriteMessage(html, aMessage);
   html.Element("p", "Servers of these zones receive no requests.");
+  // The order is refused if another one was given since this page was made.
+  const std::string knownOrders = std::to_string(OrdersOf(aEvacuations));
   html.Open("table");
   const auto* object = aEvacuations.if_object();
   const auto* list = object == nullptr ? nullptr : object->if_contains("zones");
@@ -456,6 +459,7 @@
     html.Open("tr").Element("td", zone).Open("td");
     html.Open("form", { { "method", "post" }, { "action", "/evacuations" } });
     WriteKey(html, aSession);
+    WriteHidden(html, "known_orders", knownOrders);
     WriteHidden(html, "zone", zone);
     html.Element("button", "End", { { "name", "action" }, { "value", "end" } });
     html.Close("form").Close("td").Close("tr");
@@ -463,6 +467,7 @@
   html.Close("table");
   html.Open("form", { { "method", "post" }, { "action", "/evacuations" } });
   WriteKey(html, aSession);
+  WriteHidden(html, "known_orders", knownOrders);
   html.Element("label", "Zone", { { "for", "zone" } });
   html.Open("input", { { "id", "zone" }, { "name", "zone" } });
   html.Element(
--- a/src/operator/ConsoleService.cpp
+++ b/src/operator/ConsoleService.cpp
@@ -373,8 +373,10 @@
     co_return Redirect("/");
   }
   if (aPath == "/evacuations") {
-    co_return co_await OrderEvacuation(
-      aSession, aForm.Get("zone"), aForm.Get("action") == "begin");
+    co_return co_await OrderEvacuation(aSession,
+                                       aForm.Get("zone"),
+                                       aForm.Get("action") == "begin",
+                                       aForm.Get("known_orders"));
   }
   if (!aSession->draft_.isLoaded_) {
     co_return Fault(HttpStatus::conflict,
@@ -421,11 +423,22 @@
                  EvacuationsPage(*aSession, reply->body_, aMessage));
 }
 
-asio::awaitable<HttpResponse> ConsoleService::OrderEvacuation(Session aSession,
-                                                              std::string aZone,
-                                                              bool aIsEvacuated)
-{
-  auto order = admin_.Evacuate(aZone, aIsEvacuated, aSession->token_);
+asio::awaitable<HttpResponse> ConsoleService::OrderEvacuation(
+  Session aSession,
+  std::string aZone,
+  bool aIsEvacuated,
+  std::string aKnownOrders)
+{
+  uint64_t knownOrders = 0;
+  const char* end = aKnownOrders.data() + aKnownOrders.size();
+  const auto parsed = std::from_chars(aKnownOrders.data(), end, knownOrders);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    co_return Fault(HttpStatus::bad_request,
+                    "The form does not state how many orders were known; open "
+                    "the evacuations again.");
+  }
+  auto order =
+    admin_.Evacuate(aZone, aIsEvacuated, knownOrders, aSession->token_);
   const auto reply = co_await std::move(order);
   std::string message = "The order is accepted.";
   if (!reply.ok()) {
--- a/src/operator/ConsoleService.h
+++ b/src/operator/ConsoleService.h
@@ -56,9 +56,11 @@
                                                    std::string aTarget);
   boost::asio::awaitable<HttpResponse> ShowEvacuations(Session aSession,
                                                        std::string aMessage);
-  boost::asio::awaitable<HttpResponse> OrderEvacuation(Session aSession,
-                                                       std::string aZone,
-                                                       bool aIsEvacuated);
+  boost::asio::awaitable<HttpResponse> OrderEvacuation(
+    Session aSession,
+    std::string aZone,
+    bool aIsEvacuated,
+    std::string aKnownOrders);
   HttpResponse ShowRow(const Session& aSession, const FormData& aQuery);
   HttpResponse SaveRow(const Session& aSession, const FormData& aForm);
   HttpResponse Review(const Session& aSession);
--- a/src/operator/Ctl.cpp
+++ b/src/operator/Ctl.cpp
@@ -297,8 +297,15 @@
   {
     constexpr unsigned kConflict = 409;
     constexpr unsigned kUnavailable = 503;
-    const auto reply =
-      RunBlocking(client_.Evacuate(aZone, aIsEvacuated, token_));
+    const auto evacuations = Get("/v1/evacuations");
+    if (!evacuations.ok()) {
+      return Fail(evacuations.status());
+    }
+    if (evacuations->status_ != 200) {
+      return Fail(ErrorOf(*evacuations));
+    }
+    const auto reply = RunBlocking(client_.Evacuate(
+      aZone, aIsEvacuated, OrdersOf(evacuations->body_), token_));
     if (!reply.ok()) {
       return Fail(reply.status());
     }
--- a/tests/operator/ConsoleTest.cpp
+++ b/tests/operator/ConsoleTest.cpp
@@ -365,22 +365,45 @@
   browser.SignIn();
   const std::string zone = "zone=" + Encode(kHostile);
   CHECK_FALSE(Contains(browser.Get("/evacuations"), "value=\"end\""));
+  CHECK(
+    Contains(browser.Get("/evacuations"), "name=\"known_orders\" value=\"0\""));
   const auto begun =
-    browser.PostWithKey("/evacuations", zone + "&action=begin");
+    browser.PostWithKey("/evacuations", zone + "&action=begin&known_orders=0");
   CHECK(Contains(begun, "The order is accepted."));
   CHECK(Contains(begun, EscapeHtml(kHostile)));
   CHECK_FALSE(Contains(begun, kHostile));
-  CHECK(browser.Post("/evacuations", zone + "&action=end").result() ==
-        HttpStatus::forbidden);
+  const std::string end = zone + "&action=end&known_orders=1";
+  CHECK(browser.Post("/evacuations", end).result() == HttpStatus::forbidden);
   admin.SetFault(FakeFault::Unknown);
-  const auto lost = browser.PostWithKey("/evacuations", zone + "&action=end");
+  const auto lost = browser.PostWithKey("/evacuations", end);
   CHECK(Contains(lost, "not confirmed: no quorum"));
   CHECK(Contains(lost, "value=\"end\""));
   admin.SetFault(FakeFault::None);
-  const auto ended = browser.PostWithKey("/evacuations", zone + "&action=end");
+  const auto ended = browser.PostWithKey("/evacuations", end);
   CHECK_FALSE(Contains(ended, "value=\"end\""));
 }
 
+// A form that the console reads late, or that was filled in on an old page,
+// undid the orders that were given since.
+TEST_CASE("console: an evacuation that was ordered on an older page is refused")
+{
+  FakeAdmin admin;
+  Browser browser(admin);
+  browser.SignIn();
+  const std::string begin = "zone=a&action=begin&known_orders=0";
+  browser.PostWithKey("/evacuations", begin);
+  browser.PostWithKey("/evacuations", "zone=a&action=end&known_orders=1");
+  const auto late = browser.PostWithKey("/evacuations", begin);
+  CHECK(Contains(late, "not confirmed: another order was applied first"));
+  CHECK_FALSE(Contains(late, "value=\"end\""));
+  for (const char* form :
+       { "zone=a&action=begin", "zone=a&action=begin&known_orders=x" }) {
+    CAPTURE(form);
+    CHECK(browser.PostWithKey("/evacuations", form).result() ==
+          HttpStatus::bad_request);
+  }
+}
+
 TEST_CASE("console: a change whose answer was lost is sent again as the same")
 {
   FakeAdmin admin;
--- a/tests/operator/FakeAdmin.h
+++ b/tests/operator/FakeAdmin.h
@@ -157,13 +157,18 @@
   {
     if (aRequest.method() == boost::beast::http::verb::get) {
       boost::json::array zones(evacuated_.begin(), evacuated_.end());
-      return Json(200, { { "zones", zones }, { "revision", 1 } });
+      return Json(
+        200, { { "zones", zones }, { "revision", 1 }, { "orders", orders_ } });
     }
     if (fault_ == FakeFault::Unknown) {
       return Json(503, { { "outcome", "unknown" }, { "error", "no quorum" } });
     }
     const auto body = boost::json::parse(aRequest.body());
     const std::string zone(body.at("zone").as_string());
+    if (body.at("known_orders").to_number<uint64_t>() != orders_) {
+      return Json(409, { { "error", "another order was applied first" } });
+    }
+    ++orders_;
     if (body.at("evacuated").as_bool()) {
       evacuated_.insert(zone);
     } else {
@@ -204,6 +209,7 @@
   uint64_t version_ = 0;
   int requests_ = 0;
   std::set<std::string> evacuated_;
+  uint64_t orders_ = 0;
   std::map<std::string, std::pair<unsigned, boost::json::value>> results_;
 };
 
--- a/tests/system/console_test.py
+++ b/tests/system/console_test.py
@@ -91,7 +91,7 @@
             answer = self.ctl("evacuations")
             return json.loads(answer.stdout) if not answer.returncode else None
 
-        self.assertEqual({"zones": [], "revision": 0}, zones())
+        self.assertEqual({"zones": [], "revision": 0, "orders": 0}, zones())
         self.assertEqual(0, self.ctl("evacuate", "south-b").returncode)
         self.assertEqual(0, self.ctl("evacuate", "south-b").returncode)
         self.assertEqual(1, self.ctl("evacuate", "south-c",
@@ -102,17 +102,23 @@
         browser = Browser(self.console().address)
         browser.send("POST", "/login", {"token": TOKEN})
         self.assertIn("south-b", browser.send("GET", "/evacuations")[1])
-        page = browser.post("/evacuations", zone="south-a", action="begin")[1]
+        page = browser.post("/evacuations", zone="south-a", action="begin",
+                            known_orders=2)[1]
         self.assertIn("The order is accepted.", page)
+        # A form of before that order.
+        page = browser.post("/evacuations", zone="south-a", action="end",
+                            known_orders=2)[1]
+        self.assertIn("another order was applied first", page)
         for control in self.group:
             control.kill()
         for control in self.group:
             control.start()
         wait_until(zones, 20, "the group serves again")
-        self.assertEqual({"zones": ["south-a", "south-b"], "revision": 2},
-                         zones())
+        self.assertEqual({"zones": ["south-a", "south-b"], "revision": 2,
+                          "orders": 3}, zones())
         self.assertEqual(0, self.ctl("end-evacuation", "south-b").returncode)
-        self.assertEqual({"zones": ["south-a"], "revision": 3}, zones())
+        self.assertEqual({"zones": ["south-a"], "revision": 3, "orders": 4},
+                         zones())
 
     def test_forms_make_the_accepted_document(self):
         browser = Browser(self.console().address)
