backend, http: bytes without end from a peer are cut short

Cause: Beast's parser leaves an incomplete chunk header or trailer in the caller's buffer and applies no limit to it. BackendConnection and HttpClient did not bound that buffer. Besides, replies of up to 8 MiB on each connection had no common limit.

Change: BackendConnection bounds the buffer and charges incomplete replies to ReplyMemory. HttpClient has a buffer of 64 KiB and states its limits.

--- a/src/backend/BackendConnection.cpp
+++ b/src/backend/BackendConnection.cpp
@@ -78,15 +78,20 @@
 BackendConnection::BackendConnection(asio::io_context& aContext,
                                      const asio::ip::tcp::endpoint& aEndpoint,
                                      const BackendSettings& aSettings,
+                                     std::shared_ptr<ReplyMemory> aReplyMemory,
                                      BackendConnectionListener& aListener)
   : endpoint_(aEndpoint)
   , settings_(aSettings)
   , listener_(aListener)
   , socket_(aContext.get_executor())
+  , replyMemory_(std::move(aReplyMemory))
 {
 }
 
-BackendConnection::~BackendConnection() = default;
+BackendConnection::~BackendConnection()
+{
+  replyMemory_->Resize(heldReplyBytes_, 0);
+}
 
 void BackendConnection::Connect(TimePoint aNow)
 {
@@ -217,7 +222,7 @@
     const size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
     if (error == http::error::need_more) {
-      return true;
+      break;
     }
     if (error) {
       const bool isTooLarge =
@@ -238,15 +243,33 @@
     }
   }
   if (!parser_->is_done()) {
-    return true;
+    const AttemptFault fault = CheckReplySize();
+    if (fault != AttemptFault::None) {
+      Fail(fault);
+    }
+    return fault == AttemptFault::None;
   }
   OnReplyComplete();
   return state_ != State::Closed;
 }
 
+AttemptFault BackendConnection::CheckReplySize()
+{
+  // The parser takes the header and the body from the buffer as they arrive,
+  // but leaves an incomplete chunk header or trailer there.
+  if (buffer_.size() > ReplyParser::kMaxHeaderBytes) {
+    return AttemptFault::Malformed;
+  }
+  return replyMemory_->Resize(heldReplyBytes_,
+                              parser_->Body().size() + buffer_.size())
+           ? AttemptFault::None
+           : AttemptFault::TooLarge;
+}
+
 void BackendConnection::OnReplyComplete()
 {
   hasCompletedExchange_ = true;
+  replyMemory_->Resize(heldReplyBytes_, 0);
   const bool isReusable =
     parser_->keep_alive() && buffer_.size() == 0 && unsentBytes_.empty();
   const bool wasAbandoned = state_ != State::Busy;
@@ -333,6 +356,7 @@
 void BackendConnection::Close()
 {
   state_ = State::Closed;
+  replyMemory_->Resize(heldReplyBytes_, 0);
   Error ignored;
   socket_.close(ignored);
 }
--- a/src/backend/BackendConnection.h
+++ b/src/backend/BackendConnection.h
@@ -63,6 +63,7 @@
   BackendConnection(boost::asio::io_context& aContext,
                     const boost::asio::ip::tcp::endpoint& aEndpoint,
                     const BackendSettings& aSettings,
+                    std::shared_ptr<ReplyMemory> aReplyMemory,
                     BackendConnectionListener& aListener);
   ~BackendConnection();
   BackendConnection(const BackendConnection&) = delete;
@@ -108,6 +109,9 @@
   /// Passes the bytes read to the parser.
   /// @return whether to continue reading.
   bool Parse();
+  /// Bounds the memory of the incomplete reply.
+  /// @return None, or why it has to be given up.
+  AttemptFault CheckReplySize();
   void WriteRest(std::string aRest);
   void OnReplyComplete();
   AttemptFault CheckReply(const RoutedReplica& aReplica) const;
@@ -125,6 +129,9 @@
   Socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<ReplyParser> parser_;
+  std::shared_ptr<ReplyMemory> replyMemory_;
+  /// Bytes of the incomplete reply that are counted in replyMemory_.
+  size_t heldReplyBytes_ = 0;
   /// Informational (1xx) replies to the current request.
   uint32_t informationalReplies_ = 0;
   State state_ = State::Connecting;
--- a/src/backend/BackendConnectionPool.cpp
+++ b/src/backend/BackendConnectionPool.cpp
@@ -225,8 +225,12 @@
   counter.Increment();
   metrics.openConnections_.Increment();
   ++connectingCount_;
-  connections_.push_back(std::make_shared<BackendConnection>(
-    owner_.context_, server_.Endpoint(), owner_.settings_, *this));
+  connections_.push_back(
+    std::make_shared<BackendConnection>(owner_.context_,
+                                        server_.Endpoint(),
+                                        owner_.settings_,
+                                        owner_.replyMemory_,
+                                        *this));
   connections_.back()->Connect(aNow);
 }
 
--- a/src/backend/BackendConnectionPool.h
+++ b/src/backend/BackendConnectionPool.h
@@ -33,6 +33,9 @@
   RandomSource random_;
   /// Returns an attempt with its result to the worker that created it.
   std::function<void(std::unique_ptr<Attempt>)> returnAttempt_;
+  /// Memory of the incomplete replies of all servers of the worker. Shared with
+  /// the connections, which pending operations may keep beyond the worker.
+  std::shared_ptr<ReplyMemory> replyMemory_;
   /// Warm connections that may still be opened before the next tick.
   uint32_t warmConnectsLeft_ = 0;
 };
--- a/src/backend/BackendFleet.cpp
+++ b/src/backend/BackendFleet.cpp
@@ -68,6 +68,20 @@
   size_t nextTickStart_ = 0;
 };
 
+namespace {
+
+/// @return the part of one worker, which holds one reply of the largest size.
+ReplyMemorySettings ReplyMemoryOfWorker(const BackendSettings& aSettings,
+                                        size_t aWorkers)
+{
+  ReplyMemorySettings part = aSettings.replyMemory_;
+  part.sharedBytes_ =
+    std::max<size_t>(part.sharedBytes_ / aWorkers, aSettings.maxReplyBytes_);
+  return part;
+}
+
+} // namespace
+
 BackendFleet::BackendFleet(InstanceId aInstance,
                            BackendSettings aSettings,
                            PolicySettings aPolicy,
@@ -93,7 +107,9 @@
                         RandomSource(RandomSource::SystemSeed()),
                         [this, i](std::unique_ptr<Attempt> aAttempt) {
                           ReturnToOrigin(i, std::move(aAttempt));
-                        } };
+                        },
+                        std::make_shared<ReplyMemory>(
+                          ReplyMemoryOfWorker(settings_, aWorkers.Size())) };
     perWorker_.push_back(
       std::make_unique<Worker>(context, std::move(owner), sharing_));
   }
--- a/src/backend/BackendSettings.cpp
+++ b/src/backend/BackendSettings.cpp
@@ -21,6 +21,11 @@
                     static_cast<int64_t>(settings.maxReplyBytes_),
                     1024,
                     kMaxBytes));
+  settings.replyMemory_.sharedBytes_ = static_cast<size_t>(
+    aReader.Integer("reply_memory_bytes",
+                    static_cast<int64_t>(settings.replyMemory_.sharedBytes_),
+                    0,
+                    kMaxBytes));
   settings.maxConnections_ = static_cast<uint32_t>(
     aReader.Integer("max_connections", settings.maxConnections_, 1, kMaxCount));
   settings.maxWaiting_ = static_cast<size_t>(aReader.Integer(
--- a/src/backend/BackendSettings.h
+++ b/src/backend/BackendSettings.h
@@ -3,6 +3,7 @@
 
 #include "core/JsonReader.h"
 #include "core/Time.h"
+#include "policy/ReplyLimits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,8 @@
   milliseconds maxReconnectPause_{ 2000 };
   /// Largest body of a reply, in bytes.
   uint64_t maxReplyBytes_ = 8 * 1024 * 1024;
+  /// Memory of the incomplete replies on all workers together.
+  ReplyMemorySettings replyMemory_;
   /// Connections kept open to one server at most, whatever its limit.
   uint32_t maxConnections_ = 64;
   /// Attempts that may wait for a connection to one server.
--- a/src/backend/ReplyParser.cpp
+++ b/src/backend/ReplyParser.cpp
@@ -9,7 +9,6 @@
 namespace foxtail {
 namespace {
 
-constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
 constexpr std::string_view kPrefix = "Foxtail-";
 
 // An attempt id that is no whole number is no attempt's.
--- a/src/backend/ReplyParser.h
+++ b/src/backend/ReplyParser.h
@@ -15,6 +15,9 @@
 class ReplyParser : public boost::beast::http::basic_parser<false>
 {
 public:
+  /// Largest header of a reply, and largest chunk header or trailer.
+  static constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
+
   /// @param aMaxBodyBytes a larger body is an error.
   explicit ReplyParser(uint64_t aMaxBodyBytes);
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -24,6 +24,8 @@
 
 /// Maximum informational (1xx) replies to one request.
 constexpr uint32_t kMaxInformationalReplies = 8;
+constexpr uint64_t kMaxBodyBytes = uint64_t{ 8 } * 1024 * 1024;
+constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
 
 /// Reads a final response of HTTP; everything else is an error.
 asio::awaitable<HttpResponse> ReadFinalResponse(beast::tcp_stream& aStream,
@@ -31,18 +33,20 @@
                                                 error_code& aError)
 {
   for (uint32_t i = 0; i <= kMaxInformationalReplies; ++i) {
-    HttpResponse response;
+    beast::http::response_parser<HttpResponse::body_type> parser;
+    parser.body_limit(kMaxBodyBytes);
+    parser.header_limit(kMaxHeaderBytes);
     co_await beast::http::async_read(
       aStream,
       aBuffer,
-      response,
+      parser,
       asio::redirect_error(asio::use_awaitable, aError));
     if (aError) {
-      co_return response;
+      co_return HttpResponse{};
     }
-    const ReplyStatusClass status = ClassifyStatus(response.result_int());
+    const ReplyStatusClass status = ClassifyStatus(parser.get().result_int());
     if (status == ReplyStatusClass::Final) {
-      co_return response;
+      co_return parser.release();
     }
     if (status == ReplyStatusClass::Undefined) {
       break;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -24,7 +24,8 @@
   /// @param aTimeout covers connecting and the exchange together.
   /// @return the response; Unavailable when the connection could not be opened
   /// and nothing was sent; DeadlineExceeded or Protocol when the exchange timed
-  /// out or failed after that.
+  /// out or failed after that, also because the response exceeds 8 MiB or its
+  /// header 8 KiB.
   boost::asio::awaitable<absl::StatusOr<HttpResponse>> Exchange(
     HttpRequest aRequest,
     milliseconds aTimeout);
@@ -36,11 +37,15 @@
   void Close();
 
 private:
+  static constexpr size_t kMaxBufferBytes = size_t{ 64 } * 1024;
+
   boost::asio::awaitable<absl::Status> Connect();
 
   TcpEndpoint endpoint_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  /// What the parser has not taken yet. The limit bounds chunk headers and
+  /// trailers, which the parser leaves here until they are complete.
+  boost::beast::flat_buffer buffer_{ kMaxBufferBytes };
   bool isOpen_ = false;
 };
 
--- a/tests/backend/BackendFleetTest.cpp
+++ b/tests/backend/BackendFleetTest.cpp
@@ -327,6 +327,99 @@
   }
 }
 
+// A server in trouble sent bytes without end, and its caller kept them all. The
+// instance ran out of memory, and the requests of other callers ended with it.
+TEST_CASE("bytes without end from a server are cut short")
+{
+  const std::string filler(4096, 'a');
+  struct Row
+  {
+    const char* name_;
+    std::string begin_;
+    std::string endless_;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const Row rows[] = {
+    { "bytes of no protocol", "", filler },
+    { "a status line", "HTTP/1.1 200 ", filler },
+    { "one header line", ok + "X-Filler: ", filler },
+    { "header lines", ok, "X-Filler: a\r\n" },
+    { "a body that ends with the connection", ok + "\r\n", filler },
+    { "a body of a stated length",
+      ok + "Content-Length: 1000000000000\r\n\r\n",
+      filler },
+    { "a chunked body", chunked, "1000\r\n" + filler + "\r\n" },
+    { "one chunk", chunked + "E8D4A51000\r\n", filler },
+    { "a chunk header", chunked + "4;extension=", filler },
+    { "a trailer", chunked + "0\r\nX-Filler: ", filler },
+    { "trailer lines", chunked + "0\r\n", "X-Filler: a\r\n" },
+    { "informational replies", "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+  };
+  // Buffers of the sockets on both sides, beside the limit on the reply.
+  constexpr size_t kSocketBytes = 12 * 1024 * 1024;
+  const size_t maxBytes = BackendSettings{}.maxReplyBytes_ + kSocketBytes;
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    FakeBackend backend([&](const HttpRequest&) {
+      FakeReply reply{ row.begin_, {}, false, false };
+      reply.endlessBytes_ = row.endless_;
+      return reply;
+    });
+    Fixture fixture;
+    fixture.Announce({ AnnouncementOf("p", backend.Address()) });
+    const TimePoint start = Now();
+    const Ended ended = Get(fixture.Send(1, milliseconds(1500)));
+    CHECK(ended->outcome_ == AttemptOutcome::Failed);
+    CHECK(Now() - start < seconds(1));
+    CHECK(backend.EndlessBytesSent() < maxBytes);
+  }
+}
+
+TEST_CASE("incomplete replies together stay within their memory")
+{
+  // Each is within the limit on a reply, and none ends.
+  FakeBackend backend([&](const HttpRequest&) {
+    FakeReply reply{
+      "HTTP/1.1 200 OK\r\nContent-Length: 6000000\r\n\r\n", {}, false, false
+    };
+    reply.bytes_ += std::string(3000000, 'a');
+    return reply;
+  });
+  BackendSettings settings;
+  settings.maxReplyBytes_ = 7000000;
+  // Of the two workers, one has the connections.
+  settings.replyMemory_.sharedBytes_ = 14000000;
+  Fixture fixture(settings);
+  Announcement announcement = AnnouncementOf("p", backend.Address());
+  announcement.slots_ = 4;
+  fixture.Announce({ announcement });
+  REQUIRE(WaitFor([&] { return backend.Connections() >= 4; }));
+  std::vector<std::future<Ended>> sent;
+  for (uint64_t id = 1; id <= 4; ++id) {
+    sent.push_back(fixture.Send(id, milliseconds(1500)));
+  }
+  const auto ended = [&] {
+    return std::count_if(
+      sent.begin(), sent.end(), [](const std::future<Ended>& aFuture) {
+        return aFuture.wait_for(seconds(0)) == std::future_status::ready;
+      });
+  };
+  // Two of 3 MB fit, and wait for the rest.
+  CHECK(WaitFor([&] { return ended() == 2; }));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(ended() == 2);
+  for (uint64_t id = 1; id <= sent.size(); ++id) {
+    fixture.Cancel(id);
+  }
+  size_t tooLarge = 0;
+  for (auto& future : sent) {
+    tooLarge +=
+      Get(std::move(future))->fault_ == AttemptFault::TooLarge ? 1 : 0;
+  }
+  CHECK(tooLarge == 2);
+}
+
 // A server that stopped in the middle of its reply's head, and closed, made its
 // caller receive an empty success.
 TEST_CASE("a reply that is cut at any byte is not used")
--- a/tests/backend/FakeBackend.h
+++ b/tests/backend/FakeBackend.h
@@ -32,6 +32,9 @@
   bool isClosedAfter_ = false;
   /// Keeps the connection open and never answers.
   bool isHanging_ = false;
+  /// Sent after bytes_ again and again until the connection closes, if not
+  /// empty.
+  std::string endlessBytes_{};
 };
 
 /// The parts of a reply that follows the contract, to be changed by faults.
@@ -105,6 +108,8 @@
   size_t Cancels() const { return cancels_; }
   size_t Connections() const { return connections_; }
   size_t MostOpen() const { return mostOpen_; }
+  /// @return bytes sent as FakeReply::endlessBytes_.
+  size_t EndlessBytesSent() const { return endlessBytesSent_; }
 
 private:
   void Run()
@@ -169,6 +174,12 @@
       aSocket,
       boost::asio::buffer(reply.bytes_),
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    while (!reply.endlessBytes_.empty() && !error) {
+      endlessBytesSent_ += co_await boost::asio::async_write(
+        aSocket,
+        boost::asio::buffer(reply.endlessBytes_),
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    }
     co_return !error && !reply.isClosedAfter_;
   }
 
@@ -182,6 +193,7 @@
   std::atomic<size_t> connections_{ 0 };
   std::atomic<size_t> open_{ 0 };
   std::atomic<size_t> mostOpen_{ 0 };
+  std::atomic<size_t> endlessBytesSent_{ 0 };
   std::thread thread_;
 };
 
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -205,6 +205,66 @@
   CHECK(fixture.server_.OpenConnections() == 0);
 }
 
+// A peer in trouble sent bytes without end, and the program that called it kept
+// them until the exchange timed out.
+TEST_CASE("a response without end is a failed exchange")
+{
+  const std::string filler(4096, 'a');
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct Row
+  {
+    const char* name_;
+    std::string begin_;
+    std::string endless_;
+  };
+  const Row rows[] = {
+    { "bytes of no protocol", "", filler },
+    { "one header line", "HTTP/1.1 200 OK\r\nX-Filler: ", filler },
+    { "header lines", "HTTP/1.1 200 OK\r\n", "X-Filler: a\r\n" },
+    { "a body that ends with the connection",
+      "HTTP/1.1 200 OK\r\n\r\n",
+      filler },
+    { "a body of a stated length",
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+      filler },
+    { "a chunked body", chunked, "1000\r\n" + filler + "\r\n" },
+    { "a chunk header", chunked + "4;extension=", filler },
+    { "a trailer", chunked + "0\r\nX-Filler: ", filler },
+    { "informational replies", "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+  };
+  // Buffers of the sockets on both sides, beside the limit on a response.
+  constexpr size_t kMaxBytes = 16 * 1024 * 1024;
+  for (const Row& row : rows) {
+    CAPTURE(row.name_);
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(
+      context, { asio::ip::make_address("127.0.0.1"), 0 });
+    size_t sent = 0;
+    std::thread server([&] {
+      asio::ip::tcp::socket socket(context);
+      acceptor.accept(socket);
+      boost::system::error_code error;
+      std::string request;
+      asio::read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+      asio::write(socket, asio::buffer(row.begin_), error);
+      while (!error) {
+        sent += asio::write(socket, asio::buffer(row.endless_), error);
+      }
+    });
+    const TimePoint start = Now();
+    const auto response =
+      BlockingExchange(acceptor.local_endpoint(),
+                       MakeRequest(boost::beast::http::verb::get, "/"),
+                       seconds(2));
+    CHECK_FALSE(response.ok());
+    CHECK(Now() - start < seconds(1));
+    server.join();
+    CHECK(sent < kMaxBytes);
+  }
+}
+
 // Calls between own processes took any three digits for a status, and an
 // informational reply for the final one.
 TEST_CASE("a response that HTTP does not define is a failed exchange")
