consensus: a torn write after a restart is not taken for damage

Cause: a restart gave the next write a batch number after that of the sync marker before it, whose batch had no end then. When that write was torn, its own header was taken for the proof that the records before it were damaged.

Change: a restart continues the batch that has no end. In logs of earlier releases, a torn record of the batch after one without an end is a torn write. The soak's full disk sets the soft limit only, so that it can be lifted while the process runs.

--- a/src/consensus/FileLogStorage.cpp
+++ b/src/consensus/FileLogStorage.cpp
@@ -133,6 +133,9 @@
 absl::StatusOr<StoredState> FileLogStorage::Load()
 {
   StoredState state;
+  for (const char* name : { kSnapshotFileName, kLogFileName }) {
+    RemoveTemporaryFile(folder_, name);
+  }
   if (auto status = LoadSnapshot(state); !status.ok()) {
     return status;
   }
@@ -205,7 +208,9 @@
     return status;
   }
   logBytes_ = scan->validBytes_;
-  nextBatch_ = scan->lastBatch_;
+  // Continues a batch without an end, such as that of the last marker: a later
+  // number would state that this batch was synced with an end.
+  nextBatch_ = scan->nextBatch_;
   if (logBytes_ < text.size()) {
     LogLine(LogLevel::Warning, "log_tail_cut")
       .Add("path", path)
@@ -219,11 +224,7 @@
   if (::ftruncate(log_.Get(), static_cast<off_t>(logBytes_)) != 0) {
     return MakeFileError("truncate the incomplete write at the end of", path);
   }
-  if (auto status = operations_->Sync(log_.Get()); !status.ok()) {
-    return status;
-  }
-  ++nextBatch_;
-  return absl::OkStatus();
+  return operations_->Sync(log_.Get());
 }
 
 absl::Status FileLogStorage::OpenLog()
--- a/src/consensus/FileOperations.cpp
+++ b/src/consensus/FileOperations.cpp
@@ -13,6 +13,12 @@
 
 constexpr mode_t kFileMode = 0600;
 
+std::string TemporaryPathOf(const std::string& aFolder,
+                            const std::string& aName)
+{
+  return aFolder + "/" + aName + ".new";
+}
+
 } // namespace
 
 absl::Status MakeFileError(const std::string& aAction, const std::string& aPath)
@@ -83,23 +89,31 @@
   return absl::OkStatus();
 }
 
+void RemoveTemporaryFile(const std::string& aFolder, const std::string& aName)
+{
+  ::unlink(TemporaryPathOf(aFolder, aName).c_str());
+}
+
 absl::Status ReplaceFile(FileOperations& aOperations,
                          const std::string& aFolder,
                          const std::string& aName,
                          std::string_view aData)
 {
   const std::string path = aFolder + "/" + aName;
-  const std::string temporaryPath = path + ".new";
+  const std::string temporaryPath = TemporaryPathOf(aFolder, aName);
   const FileDescriptor file(::open(temporaryPath.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
                                    kFileMode));
   if (!file.IsOpen()) {
     return MakeFileError("create", temporaryPath);
   }
-  if (auto status = aOperations.WriteAt(file.Get(), aData, 0); !status.ok()) {
-    return status;
+  auto status = aOperations.WriteAt(file.Get(), aData, 0);
+  if (status.ok()) {
+    status = aOperations.Sync(file.Get());
   }
-  if (auto status = aOperations.Sync(file.Get()); !status.ok()) {
+  if (!status.ok()) {
+    // A full disk needs the room.
+    RemoveTemporaryFile(aFolder, aName);
     return status;
   }
   if (::rename(temporaryPath.c_str(), path.c_str()) != 0) {
--- a/src/consensus/FileOperations.h
+++ b/src/consensus/FileOperations.h
@@ -55,8 +55,11 @@
 /// Syncs a folder, so that files created or renamed in it survive a crash.
 absl::Status SyncFolder(const std::string& aFolder);
 
+/// Removes what ReplaceFile() left of a file when its process was killed.
+void RemoveTemporaryFile(const std::string& aFolder, const std::string& aName);
+
 /// Replaces a file atomically and durably: after a crash it has either the old
-/// or the new content.
+/// or the new content. Leaves no temporary file when it fails.
 absl::Status ReplaceFile(FileOperations& aOperations,
                          const std::string& aFolder,
                          const std::string& aName,
--- a/src/consensus/RecordFile.cpp
+++ b/src/consensus/RecordFile.cpp
@@ -123,8 +123,7 @@
 {
   RecordScan scan;
   uint64_t offset = 0;
-  // Batch number that a record at the offset would have.
-  uint64_t batch = 1;
+  bool isWithinBatch = false;
   while (offset < aText.size()) {
     const std::optional<RecordHeader> header = ReadHeaderAt(aText, offset);
     const std::optional<std::string_view> payload =
@@ -133,14 +132,19 @@
       break;
     }
     scan.payloads_.push_back(*payload);
-    scan.lastBatch_ = header->batch_;
-    const bool isEndOfBatch =
-      header->position_ == static_cast<uint32_t>(RecordPosition::EndOfBatch);
-    batch = isEndOfBatch ? header->batch_ + 1 : header->batch_;
+    isWithinBatch =
+      header->position_ != static_cast<uint32_t>(RecordPosition::EndOfBatch);
+    scan.nextBatch_ = isWithinBatch ? header->batch_ : header->batch_ + 1;
     offset += kHeaderBytes + Padded(payload->size());
   }
   scan.validBytes_ = offset;
-  if (IsFollowedByLaterBatch(aText, offset, batch)) {
+  // Earlier releases began a batch at each start and left the one before it
+  // without an end, so the torn record may itself be of the batch after.
+  const std::optional<RecordHeader> torn = ReadHeaderAt(aText, offset);
+  const bool isOfBatchAfter =
+    isWithinBatch && torn.has_value() && torn->batch_ == scan.nextBatch_ + 1;
+  const uint64_t tornBatch = isOfBatchAfter ? torn->batch_ : scan.nextBatch_;
+  if (IsFollowedByLaterBatch(aText, offset, tornBatch)) {
     return MakeError(
       ErrorKind::Storage,
       "the log is damaged at byte " + std::to_string(offset) +
--- a/src/consensus/RecordFile.h
+++ b/src/consensus/RecordFile.h
@@ -13,9 +13,10 @@
 // Format of the log file: consecutive records, padded to 8 bytes. The header of
 // a record has the payload's length, the number of the sync batch, whether the
 // record ends that batch, and checksums of the header and the payload. A batch
-// is synced before the next one is written. An unreadable record is therefore a
-// torn write only when no record of a later batch follows it. Otherwise synced
-// data is damaged, and no record may be dropped.
+// is synced before the next one is written, and a process that starts continues
+// a batch without an end. An unreadable record is therefore a torn write only
+// when no record of a later batch follows it. Otherwise synced data is damaged,
+// and no record may be dropped.
 
 /// Position of a record in its sync batch.
 enum class RecordPosition
@@ -44,8 +45,9 @@
   std::vector<std::string_view> payloads_;
   /// Bytes up to the end of the last complete record; the rest is a torn write.
   uint64_t validBytes_ = 0;
-  /// Batch number of the last complete record.
-  uint64_t lastBatch_ = 0;
+  /// Batch number that the next record has: that of the last complete record,
+  /// or the one after it if that record ends its batch.
+  uint64_t nextBatch_ = 1;
 };
 
 /// Reads all records of a log file.
--- a/tests/consensus/FileLogStorageTest.cpp
+++ b/tests/consensus/FileLogStorageTest.cpp
@@ -1,6 +1,7 @@
 #include "consensus/FileLogStorage.h"
 #include "GroupExplorer.h"
 #include "consensus/DataFolder.h"
+#include "consensus/RecordFile.h"
 #include "core/Error.h"
 #include "core/JsonReader.h"
 
@@ -34,6 +35,8 @@
   {
     int writesUntilFull_ = -1;
     int syncsUntilFailure_ = -1;
+    /// Whether the disk stays full.
+    bool staysFull_ = false;
   };
 
   explicit FailingOperations(Plan& aPlan)
@@ -45,7 +48,11 @@
                        std::string_view aData,
                        uint64_t aOffset) override
   {
-    if (plan_.writesUntilFull_ >= 0 && plan_.writesUntilFull_-- == 0) {
+    const bool isFull = plan_.writesUntilFull_ == 0;
+    if (plan_.writesUntilFull_ > 0 || (isFull && !plan_.staysFull_)) {
+      --plan_.writesUntilFull_;
+    }
+    if (isFull) {
       // A full disk stores only a part of the data.
       (void)FileOperations::WriteAt(
         aFile, aData.substr(0, aData.size() / 2), aOffset);
@@ -194,6 +201,123 @@
   }
 }
 
+// The first write after a restart had the number of a later batch than the
+// marker before it. When it was torn, as by a full disk, its own header looked
+// like proof that synced records were damaged, and the instance did not start
+// again.
+TEST_CASE("a torn first write after a restart is truncated, wherever it ends")
+{
+  const TestFolder folder;
+  Fill(folder, 2);
+  const size_t intactBytes = ReadAll(folder.Log()).size();
+  {
+    FileLogStorage storage(folder.path_);
+    REQUIRE(storage.Load().ok());
+    REQUIRE(storage.Write(BatchOf(3)).ok());
+  }
+  const std::string log = ReadAll(folder.Log());
+  for (size_t length = intactBytes; length < log.size(); ++length) {
+    CAPTURE(length);
+    WriteAll(folder.Log(), log.substr(0, length));
+    FileLogStorage storage(folder.path_);
+    const auto state = storage.Load();
+    REQUIRE(state.ok());
+    REQUIRE(state->entries_.size() >= 2);
+    REQUIRE(storage.Write(BatchOf(state->entries_.size() + 1)).ok());
+    FileLogStorage again(folder.path_);
+    const auto resumed = again.Load();
+    REQUIRE(resumed.ok());
+    CHECK(resumed->entries_.size() == state->entries_.size() + 1);
+  }
+}
+
+// Logs of earlier releases have such writes.
+TEST_CASE("a torn first write after a restart of an earlier release is "
+          "truncated")
+{
+  const std::string payload = "a record";
+  std::string log;
+  AppendBatch(log, 1, { payload });
+  AppendRecord(log, 2, RecordPosition::WithinBatch, payload);
+  const size_t intactBytes = log.size();
+  std::string later;
+  AppendBatch(later, 3, { payload, payload });
+  for (size_t length = 0; length < later.size(); ++length) {
+    CAPTURE(length);
+    const std::string torn = log + later.substr(0, length);
+    const auto scan = ScanRecords(torn);
+    REQUIRE(scan.ok());
+    CHECK(scan->validBytes_ >= intactBytes);
+  }
+  // A record of a batch after it proves that it was synced.
+  std::string damaged = log + later;
+  AppendRecord(damaged, 4, RecordPosition::WithinBatch, payload);
+  damaged[log.size() + later.size() / 2 - 1] ^= 1;
+  CHECK_FALSE(ScanRecords(damaged).ok());
+}
+
+TEST_CASE("full disks over restarts lose no confirmed write and end no log")
+{
+  constexpr int kRestarts = 4;
+  // Each digit in base 4 is the number of writes before one disk is full.
+  for (int plans = 0; plans < 256; ++plans) {
+    CAPTURE(plans);
+    const TestFolder folder;
+    LogIndex confirmed = 0;
+    for (int restart = 0, digits = plans; restart < kRestarts;
+         ++restart, digits /= 4) {
+      CAPTURE(restart);
+      FailingOperations::Plan plan;
+      FileLogStorage storage(folder.path_,
+                             std::make_unique<FailingOperations>(plan));
+      const auto state = storage.Load();
+      REQUIRE(state.ok());
+      REQUIRE(state->entries_.size() >= confirmed);
+      LogIndex next = state->entries_.size() + 1;
+      plan = { digits % 4, -1, true };
+      while (storage.Write(BatchOf(next)).ok()) {
+        confirmed = next++;
+      }
+    }
+    FileLogStorage storage(folder.path_);
+    const auto state = storage.Load();
+    REQUIRE(state.ok());
+    CHECK(state->entries_.size() >= confirmed);
+    CHECK(storage.Write(BatchOf(state->entries_.size() + 1)).ok());
+  }
+}
+
+TEST_CASE("a snapshot that found no room leaves no file behind")
+{
+  const TestFolder folder;
+  Fill(folder, 2);
+  const auto temporaryFiles = [&] {
+    size_t count = 0;
+    for (const auto& file : std::filesystem::directory_iterator(folder.path_)) {
+      count += file.path().extension() == ".new" ? 1 : 0;
+    }
+    return count;
+  };
+  FailingOperations::Plan plan;
+  {
+    FileLogStorage storage(folder.path_,
+                           std::make_unique<FailingOperations>(plan));
+    auto state = storage.Load();
+    REQUIRE(state.ok());
+    state->snapshot_.meta_.index_ = 1;
+    state->snapshot_.data_ = std::make_shared<const std::string>("the state");
+    plan.writesUntilFull_ = 0;
+    CHECK_FALSE(storage.Write({ WriteSnapshot{ *state } }).ok());
+  }
+  CHECK(temporaryFiles() == 0);
+  // Left by a process that was killed meanwhile.
+  WriteAll(folder.path_ + "/snapshot.new", "half of");
+  WriteAll(folder.Log() + ".new", "half of");
+  FileLogStorage storage(folder.path_);
+  REQUIRE(storage.Load().ok());
+  CHECK(temporaryFiles() == 0);
+}
+
 TEST_CASE("a flipped bit in synced records fails to load, wherever it is")
 {
   const TestFolder folder;
--- a/tests/platform/soak/machines.py
+++ b/tests/platform/soak/machines.py
@@ -44,10 +44,11 @@
         limit = self.disk_limit
 
         def set_limit():
+            # Writes fail instead, as those of a full disk do.
+            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
             if limit is not None:
-                # Writes fail instead, as those of a full disk do.
-                signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
-                resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limit))
+                resource.setrlimit(resource.RLIMIT_FSIZE,
+                                   (limit, resource.RLIM_INFINITY))
 
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
