--- a/src/control/EvacuationLog.cpp
+++ b/src/control/EvacuationLog.cpp
@@ -15,29 +15,46 @@
   "Orders to begin or end an evacuation";
 constexpr milliseconds kStatePollInterval{ 10 };
 
-/// Adds the outcome to a log line.
-struct OutcomeFields
+/// Counts and logs an outcome.
+struct OutcomeReport
 {
-  LogLine& line_;
+  prometheus::Counter& committed_;
+  prometheus::Counter& unproved_;
+  prometheus::Counter& notCommitted_;
+  const EvacuationOrder& order_;
+  Duration duration_;
 
-  void operator()(const EvacuationCommitted&) const {}
+  void operator()(const EvacuationCommitted&) const
+  {
+    committed_.Increment();
+    LogLine line(LogLevel::Info, "evacuation_committed");
+    AddOrder(line);
+  }
   void operator()(const EvacuationUnproved& aOutcome) const
   {
-    line_.Add("known_orders", aOutcome.knownOrders_);
+    unproved_.Increment();
+    LogLine line(LogLevel::Info, "evacuation_unproved");
+    AddOrder(line);
+    line.Add("known_orders", aOutcome.knownOrders_);
   }
   void operator()(const EvacuationUnconfirmed& aOutcome) const
   {
-    line_.Add("error", aOutcome.reason_);
+    notCommitted_.Increment();
+    LogLine line(LogLevel::Warning, "evacuation_unconfirmed");
+    AddOrder(line);
+    line.Add("error", aOutcome.reason_);
   }
-};
 
-std::string_view EventOf(const EvacuationOutcome& aOutcome)
-{
-  constexpr std::array<std::string_view, 3> kEvents{ "evacuation_committed",
-                                                     "evacuation_unproved",
-                                                     "evacuation_unconfirmed" };
-  return kEvents[aOutcome.index()];
-}
+  void AddOrder(LogLine& aLine) const
+  {
+    aLine.Add("zone", order_.zone_)
+      .Add("evacuated", order_.isEvacuated_)
+      .Add("after_ms", ToMilliseconds(duration_));
+    if (order_.knownOrders_) {
+      aLine.Add("stated_orders", *order_.knownOrders_);
+    }
+  }
+};
 
 } // namespace
 
@@ -66,21 +83,10 @@
   // g++ 12 destroys temporaries within an awaited expression twice.
   auto trial = TryCommit(aOrder, aDeadline);
   const EvacuationOutcome outcome = co_await std::move(trial);
-  const std::array<prometheus::Counter*, 3> counters{ &committed_,
-                                                      &unproved_,
-                                                      &notCommitted_ };
-  counters[outcome.index()]->Increment();
-  const bool isUnconfirmed =
-    std::holds_alternative<EvacuationUnconfirmed>(outcome);
-  LogLine line(isUnconfirmed ? LogLevel::Warning : LogLevel::Info,
-               EventOf(outcome));
-  line.Add("zone", aOrder.zone_)
-    .Add("evacuated", aOrder.isEvacuated_)
-    .Add("after_ms", ToMilliseconds(Now() - begin));
-  if (aOrder.knownOrders_) {
-    line.Add("stated_orders", *aOrder.knownOrders_);
-  }
-  std::visit(OutcomeFields{ line }, outcome);
+  std::visit(
+    OutcomeReport{
+      committed_, unproved_, notCommitted_, aOrder, Now() - begin },
+    outcome);
   co_return outcome;
 }
 
