--- a/src/control/EvacuationTable.h
+++ b/src/control/EvacuationTable.h
@@ -46,7 +46,7 @@
   /// that would change the set must state the number of orders that an instance
   /// has stated in reply to it, and Apply() refuses it if there was one since.
   ///
-  /// @return none when the sender has to be told Rows::orders_ first.
+  /// @return none when the sender must receive Rows::orders_ first.
   std::optional<SetEvacuation> MakeCommand(const EvacuationOrder& aOrder) const;
 
   /// Replaces the table by that of a snapshot.
--- a/tests/consensus/FileLogStorageTest.cpp
+++ b/tests/consensus/FileLogStorageTest.cpp
@@ -107,6 +107,30 @@
   std::ofstream(aPath, std::ios::binary | std::ios::trunc) << aText;
 }
 
+/// Checks that a log of three batches whose last write is torn after any byte
+/// loads without that write, and accepts the next one.
+///
+/// @param aIntactBytes size of the log without its last batch.
+void CheckTornWrites(const TestFolder& aFolder,
+                     const std::string& aLog,
+                     size_t aIntactBytes)
+{
+  for (size_t length = aIntactBytes; length < aLog.size(); ++length) {
+    CAPTURE(length);
+    WriteAll(aFolder.Log(), aLog.substr(0, length));
+    FileLogStorage storage(aFolder.path_);
+    const auto state = storage.Load();
+    REQUIRE(state.ok());
+    REQUIRE(state->entries_.size() >= 2);
+    // The storage accepts writes after the truncation.
+    REQUIRE(storage.Write(BatchOf(state->entries_.size() + 1)).ok());
+    FileLogStorage again(aFolder.path_);
+    const auto resumed = again.Load();
+    REQUIRE(resumed.ok());
+    CHECK(resumed->entries_.size() == state->entries_.size() + 1);
+  }
+}
+
 } // namespace
 
 TEST_CASE(
@@ -185,20 +209,7 @@
   const TestFolder shorter;
   Fill(shorter, 2);
   const size_t intactBytes = ReadAll(shorter.Log()).size();
-  for (size_t length = intactBytes; length < intactLog.size(); ++length) {
-    CAPTURE(length);
-    WriteAll(folder.Log(), intactLog.substr(0, length));
-    FileLogStorage storage(folder.path_);
-    const auto state = storage.Load();
-    REQUIRE(state.ok());
-    REQUIRE(state->entries_.size() >= 2);
-    // The storage accepts writes after the truncation.
-    REQUIRE(storage.Write(BatchOf(state->entries_.size() + 1)).ok());
-    FileLogStorage again(folder.path_);
-    const auto resumed = again.Load();
-    REQUIRE(resumed.ok());
-    CHECK(resumed->entries_.size() == state->entries_.size() + 1);
-  }
+  CheckTornWrites(folder, intactLog, intactBytes);
 }
 
 // The first write after a restart had the number of a later batch than the
@@ -216,19 +227,7 @@
     REQUIRE(storage.Write(BatchOf(3)).ok());
   }
   const std::string log = ReadAll(folder.Log());
-  for (size_t length = intactBytes; length < log.size(); ++length) {
-    CAPTURE(length);
-    WriteAll(folder.Log(), log.substr(0, length));
-    FileLogStorage storage(folder.path_);
-    const auto state = storage.Load();
-    REQUIRE(state.ok());
-    REQUIRE(state->entries_.size() >= 2);
-    REQUIRE(storage.Write(BatchOf(state->entries_.size() + 1)).ok());
-    FileLogStorage again(folder.path_);
-    const auto resumed = again.Load();
-    REQUIRE(resumed.ok());
-    CHECK(resumed->entries_.size() == state->entries_.size() + 1);
-  }
+  CheckTornWrites(folder, log, intactBytes);
 }
 
 // Logs of earlier releases have such writes.
