--- a/tests/system/control_test.py
+++ b/tests/system/control_test.py
@@ -470,7 +470,8 @@
         expect(check_actions(attempts, runs), f"{name} is not found")
 
 
-def main():
+def main(tests):
+    """Runs the tests whose names contain --only; @p tests maps names."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", default="build")
     parser.add_argument("--seed", type=int, default=1)
@@ -478,9 +479,9 @@
     options = parser.parse_args()
     seed = options.seed
     failed = []
-    tests = [(name, test) for name, test in sorted(globals().items())
-             if name.startswith("test_") and options.only in name]
-    for name, test in tests:
+    for name, test in sorted(tests.items()):
+        if not name.startswith("test_") or options.only not in name:
+            continue
         begin = time.monotonic()
         try:
             with Deployment(build=options.build, seed=seed) as deployment:
@@ -495,4 +496,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(globals()))
--- a/tests/system/member_removal_test.py
+++ b/tests/system/member_removal_test.py
@@ -6,9 +6,8 @@
 
 import sys
 
-import control_test
 from control_group import TOKEN, ControlGroup
-from control_test import expect
+from control_test import expect, main
 from deployment import http_request
 
 
@@ -36,9 +35,5 @@
 
 
 if __name__ == "__main__":
-    for name in [name for name in vars(control_test)
-                 if name.startswith("test_")]:
-        delattr(control_test, name)
-    control_test.test_removal_of_one_incarnation = (
-        test_removal_of_one_incarnation)
-    sys.exit(control_test.main())
+    sys.exit(main({"test_removal_of_one_incarnation":
+                   test_removal_of_one_incarnation}))
