control: a removed member is not added again by an earlier request to join

Cause: the leader keeps the last request to join for 3 s, and added the removed incarnation again.

Change: a removal drops the kept request of that incarnation.

--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -512,6 +512,10 @@
     aRequest.handler_(proposal.status());
     return;
   }
+  // Its last request to join is of before the removal.
+  std::erase_if(joiners_, [&](const auto& aRow) {
+    return aRow.second.member_.id_ == aRequest.member_;
+  });
   LogLine(LogLevel::Info, "member_removed")
     .Add("member", ToText(aRequest.member_))
     .Add("reason", "requested by an operator");
--- a/tests/system/member_removal_test.py
+++ b/tests/system/member_removal_test.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+import time
 
 from control_group import TOKEN, ControlGroup
 from control_test import expect, main
@@ -32,6 +33,11 @@
            "the member is removed")
     expect(remove(remove=name, incarnation=incarnation) == 404,
            "it is removed once")
+    # Its last request to join, of before the removal, is kept for 3 s.
+    time.sleep(1)
+    members = group.wait_leader().status()["members"]
+    expect(all(member["instance"] != name for member in members),
+           "it is not added again")
 
 
 if __name__ == "__main__":
