Review case 13: a configuration of version 0 is acknowledged and lost

The first configuration has the version 0: 200, and then no read and no request is answered but with 503 (rule CONFIG).

The stand-in of the clients now records what it sends.

--- a/review/harness-3/backend.py
+++ b/review/harness-3/backend.py
@@ -112,6 +112,8 @@
         request = "%016x" % random.getrandbits(64)
         self.sent[request] = time.monotonic()
         body = b"x" * 200 if self.method == "POST" else b""
+        self.site.record("client sends", self.method, self.path, "to", self.host,
+                         "as", request)
         try:
             status, fields, answer = await call(
                 self.site.front(entry), self.method, self.path, body,
