Review case 12: after a restart, requests run as another tenant

After all processes were killed and came back, requests run as the tenant that held their key in an older version (rule UNASKED).

--- a/review/harness-3/backend.py
+++ b/review/harness-3/backend.py
@@ -25,6 +25,7 @@
         self.born = None
         self.acked = {}
         self.runs = []
+        self.tenants = {}
         self.server = None
         self.tasks = []
         self.writers = set()
@@ -68,6 +69,7 @@
                     continue
                 async with self.free:
                     self.runs.append((time.monotonic(), request))
+                    self.tenants[request] = fields.get("foxtailthread-tenant")
                     self.site.record(self.id, "of", self.service, "runs", request)
                     await asyncio.sleep(self.work_s)
                 stamp = "Foxtailthread-Server-Stamp: %s.%s\r\n" % (self.id, request)
@@ -104,8 +106,9 @@
 class Client:
     """Sends requests and keeps what came back."""
 
-    def __init__(self, site, path, host, method="POST"):
+    def __init__(self, site, path, host, method="POST", key=None):
         self.site, self.path, self.host, self.method = site, path, host, method
+        self.headers = [("Authorization", "Token " + key)] if key else []
         self.sent, self.answers = {}, {}
 
     async def send(self, entry=0):
@@ -118,7 +121,8 @@
             status, fields, answer = await call(
                 self.site.front(entry), self.method, self.path, body,
                 [("Foxtailthread-Request-Id", request),
-                 ("Foxtailthread-Deadline-Ms", "3000")], timeout=3.5, host=self.host)
+                 ("Foxtailthread-Deadline-Ms", "3000")] + self.headers,
+                timeout=3.5, host=self.host)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
             status, fields, answer = type(error).__name__, {}, b""
         self.answers[request] = (status, fields, answer)
