--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -34,16 +34,17 @@
         self.file.flush()
 
 
-def free_ports(count):
-    """Ports that are free on all loopback addresses, one after the other."""
+def free_ports(hosts, count):
+    """The first of some ports in a row that are free on all of the addresses."""
     for _ in range(200):
         first = random.randrange(20000, 50000 - count)
         held = []
         try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                held.append(probe)
-                probe.bind(("0.0.0.0", port))
+            for host in hosts:
+                for port in range(first, first + count):
+                    probe = socket.socket()
+                    held.append(probe)
+                    probe.bind((host, port))
             return first
         except OSError:
             continue
@@ -100,7 +101,8 @@
             if not os.access(os.path.join(REPO, command.split()[0]), os.X_OK):
                 raise CannotRun(command + " is not built")
         self.net = "127.%d.%d" % (random.randrange(20, 250), random.randrange(1, 250))
-        self.port = free_ports(24)
+        hosts = ["%s.%d" % (self.net, n) for n in (11, 12, 13, 31, 32, 100)]
+        self.port = free_ports(hosts, 24)
         self.bounds = {
             "seed_staleness_s": 3, "reuse_after_s": 2, "contact_ms": 4000,
             "ack_ms": 5000, "catch_up_s": 4, "drain_ms": 3000, "grace_s": 6,
