Publish no document from a control instance's disk alone

An entry instance that starts at the same moment has no version to compare with, so it put the first one in force and said that it was ready. Evacuations already waited until the instance had caught up with a leader; documents, and the quotas of teams that come with them, did not.

Change: the document is notified under the same condition as the evacuations: once the state holds what a leader had committed after the start of this process. Versions that are applied together are notified as one. The new line control_caught_up tells when.

--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -148,6 +148,7 @@
     .Add("snapshot_index", stored->snapshot_.meta_.index_)
     .Add("entries", stored->entries_.size());
   now_ = Now();
+  startedAt_ = now_;
   lastLeaderKnown_ = now_;
   hasAcceptedCommands_ =
     stored->snapshot_.meta_.index_ != 0 ||
@@ -562,7 +563,7 @@
   RequestJoin();
   ProposeMembers();
   NotifyMembership();
-  NotifyEvacuations();
+  NotifyState();
   UpdateMetrics();
 }
 
@@ -594,6 +595,8 @@
     for (const LogEntry& entry : output.committedEntries_) {
       Apply(entry);
     }
+    // Before the confirmation of a read, whose reader may ask for the document.
+    NotifyState();
     for (const ReadId read : output.confirmedReads_) {
       if (auto pending = reads_.extract(read)) {
         pending.mapped().handler_(absl::OkStatus(), state_);
@@ -604,7 +607,6 @@
         pending.mapped().handler_(NotLeaderError(), state_);
       }
     }
-    NotifyEvacuations();
     StartSnapshot();
   }
 }
@@ -620,16 +622,12 @@
   if (aEntry.kind_ == EntryKind::Command) {
     hasAcceptedCommands_ = true;
     const auto command = DecodeCommand(aEntry.payload_);
-    const DocumentVersion before = state_.Documents().Version();
     if (command.ok()) {
       result = state_.Apply(*command);
       NotifyDeparture(*command);
     } else {
       result = command.status();
     }
-    if (state_.Documents().Version() != before) {
-      NotifyDocument();
-    }
   } else if (aEntry.kind_ == EntryKind::Membership) {
     LogLine line(LogLevel::Info, "membership_committed");
     line.Add("index", aEntry.index_);
@@ -665,7 +663,6 @@
     auto pending = proposals_.extract(proposals_.begin());
     pending.mapped().handler_(OutcomeUnknownError());
   }
-  NotifyDocument();
   if (onDeparture_) {
     for (const auto& [id, row] : state_.Departures().GetRows()) {
       onDeparture_(row.announcement_);
@@ -713,10 +710,10 @@
     lastLeaderKnown_ = now_;
   }
   if (role == lastRole_ && node_->CurrentTerm() == lastTerm_) {
-    if (isLeader_ && !hasNotifiedAsLeader_ && node_->HasCommittedInTerm() &&
-        appliedIndex_ >= node_->CommitIndex()) {
+    if (isLeader_ && !hasNotifiedAsLeader_ && HoldsLeaderState()) {
       hasNotifiedAsLeader_ = true;
-      NotifyDocument();
+      notifiedVersion_.reset();
+      NotifyState();
     }
     return;
   }
@@ -745,14 +742,6 @@
     static_cast<double>(state_.Evacuations().GetRows().zones_.size()));
 }
 
-void ReplicatedControl::NotifyDocument()
-{
-  const DocumentLedger& documents = state_.Documents();
-  if (onDocument_ && documents.Version().Value() != 0) {
-    onDocument_(documents.Version(), documents.Text(), isLeader_);
-  }
-}
-
 void ReplicatedControl::NotifyDeparture(const Command& aCommand)
 {
   const auto* departure = std::get_if<RecordDeparture>(&aCommand.body_);
@@ -769,7 +758,7 @@
   }
 }
 
-bool ReplicatedControl::HasCaughtUp() const
+bool ReplicatedControl::HoldsLeaderState() const
 {
   if (isLeader_) {
     return node_->HasCommittedInTerm() && appliedIndex_ >= node_->CommitIndex();
@@ -780,12 +769,38 @@
          appliedTerm_ == leaderCommitTerm_ && appliedIndex_ >= leaderCommit_;
 }
 
+void ReplicatedControl::NotifyState()
+{
+  if (!hasCaughtUp_) {
+    if (!HoldsLeaderState()) {
+      return;
+    }
+    hasCaughtUp_ = true;
+    LogLine(LogLevel::Info, "control_caught_up")
+      .Add("index", appliedIndex_)
+      .Add("term", node_->CurrentTerm())
+      .Add("document", state_.Documents().Version())
+      .Add("after_ms", ToMilliseconds(now_ - startedAt_));
+  }
+  NotifyDocument();
+  NotifyEvacuations();
+}
+
+void ReplicatedControl::NotifyDocument()
+{
+  const DocumentLedger& documents = state_.Documents();
+  if (!onDocument_ || documents.Version().Value() == 0 ||
+      documents.Version() == notifiedVersion_) {
+    return;
+  }
+  notifiedVersion_ = documents.Version();
+  onDocument_(documents.Version(), documents.Text(), isLeader_);
+}
+
 void ReplicatedControl::NotifyEvacuations()
 {
-  hasCaughtUp_ = hasCaughtUp_ || HasCaughtUp();
   const EvacuationTable::Rows& rows = state_.Evacuations().GetRows();
-  if (!onEvacuations_ || !hasCaughtUp_ ||
-      rows.revision_ + 1 == notifiedEvacuationRevision_) {
+  if (!onEvacuations_ || rows.revision_ + 1 == notifiedEvacuationRevision_) {
     return;
   }
   notifiedEvacuationRevision_ = rows.revision_ + 1;
--- a/src/control/ReplicatedControl.h
+++ b/src/control/ReplicatedControl.h
@@ -22,14 +22,17 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace foxtail {
 
-/// Called with the accepted document after each change, and again by each new
-/// leader. Runs on the control thread, so it must not block.
+/// Called with the accepted document once this instance has applied what a
+/// leader had committed after the start of this process, after each change, and
+/// again by each new leader. Versions that are applied together are notified as
+/// one. Runs on the control thread, so it must not block.
 using DocumentListener = std::function<
   void(DocumentVersion, std::shared_ptr<const std::string>, bool aIsLeader)>;
 
@@ -150,6 +153,10 @@
 
   /// @return whether this member leads, by its local state.
   bool IsLeader() const { return isLeader_; }
+  /// @return whether the state has held, at some time since the start of this
+  /// process, all that a leader had committed. Before, it comes from this
+  /// instance's disk alone and may lack changes that were acknowledged.
+  bool HasCaughtUp() const { return hasCaughtUp_; }
   const ControlSettings& Settings() const { return settings_; }
 
 private:
@@ -268,12 +275,15 @@
   void SendMessage(const ConsensusMessage& aMessage);
   void UpdateRole();
   void UpdateMetrics();
-  void NotifyDocument();
   void NotifyDeparture(const Command& aCommand);
   void NotifyMembership();
   /// @return whether the state holds all that was committed up to some time
   /// after the start of this process.
-  bool HasCaughtUp() const;
+  bool HoldsLeaderState() const;
+  /// Notifies the listeners of the document and the evacuations if these have
+  /// changed, but never of a state from the disk alone.
+  void NotifyState();
+  void NotifyDocument();
   void NotifyEvacuations();
   /// A group accepts its first command when it has the number of voters in
   /// goal_: with fewer, one lost disk may be the only one with the command, or
@@ -316,6 +326,7 @@
   std::vector<Input> inbox_;
   bool isStopping_ = false;
   std::atomic<bool> isLeader_{ false };
+  std::atomic<bool> hasCaughtUp_{ false };
   std::thread thread_;
   std::thread snapshotThread_;
 
@@ -323,6 +334,7 @@
   std::unique_ptr<ConsensusNode> node_;
   ControlState state_;
   TimePoint now_{};
+  TimePoint startedAt_{};
   TimePoint nextTick_{};
   TimePoint nextJoinRequest_{};
   TimePoint lastLeaderKnown_{};
@@ -336,7 +348,8 @@
   /// Latest commit index received from a leader, and that leader's term.
   LogIndex leaderCommit_ = 0;
   Term leaderCommitTerm_ = 0;
-  bool hasCaughtUp_ = false;
+  /// Version of which the listener was notified.
+  std::optional<DocumentVersion> notifiedVersion_;
   /// Revision of EvacuatedZones of which the listener was notified; 0: none.
   uint64_t notifiedEvacuationRevision_ = 0;
   uint64_t bytesSinceSnapshot_ = 0;
--- a/tests/control/ControlMember.h
+++ b/tests/control/ControlMember.h
@@ -7,6 +7,7 @@
 #include "control/EvacuationLog.h"
 #include "control/ReplicatedControl.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
@@ -38,6 +39,12 @@
     , commands_(control_, frames_, metrics_)
     , evacuations_(control_, frames_, metrics_)
   {
+    control_.OnDocument([this](DocumentVersion aVersion,
+                               std::shared_ptr<const std::string>,
+                               bool) {
+      const std::lock_guard lock(mutex_);
+      notifiedVersions_.push_back(aVersion);
+    });
     control_.OnEvacuations([this](const EvacuatedZones& aZones) {
       const std::lock_guard lock(mutex_);
       notified_.push_back(aZones);
@@ -71,10 +78,10 @@
   void KeepFolder() { isFolderKept_ = true; }
   uint16_t Port() const { return port_; }
   /// @return the outcome of a command.
-  absl::Status Commit(uint64_t aVersion)
+  absl::Status Commit(uint64_t aVersion, std::string aText = "routes")
   {
     auto submission = control_.Submit(
-      AdoptDocument{ DocumentVersion(aVersion), "routes" }, seconds(1));
+      AdoptDocument{ DocumentVersion(aVersion), std::move(aText) }, seconds(1));
     return boost::asio::co_spawn(
              pool_.Context(0), std::move(submission), boost::asio::use_future)
       .get()
@@ -120,6 +127,13 @@
     return notified_.empty() ? EvacuatedZones{} : notified_.back();
   }
 
+  /// @return the versions of which the listener was notified, in their order.
+  std::vector<DocumentVersion> NotifiedVersions()
+  {
+    const std::lock_guard lock(mutex_);
+    return notifiedVersions_;
+  }
+
   /// @return the number of voters in this member's latest membership.
   size_t Voters()
   {
@@ -152,6 +166,7 @@
     settings.endpoint_ = Endpoint();
     settings.goal_.voters_ = 3;
     settings.bootstrapDelay_ = milliseconds(10);
+    settings.snapshotBytes_ = 64 * 1024;
     settings.consensus_.electionTimeout_ = milliseconds(300);
     for (const ControlMember* seed : aSeeds) {
       settings.seeds_.push_back({ InstanceId(seed->name_), seed->Endpoint() });
@@ -171,6 +186,66 @@
   EvacuationLog evacuations_;
   std::mutex mutex_;
   std::vector<EvacuatedZones> notified_;
+  std::vector<DocumentVersion> notifiedVersions_;
+};
+
+/// A group of three control instances. The first one creates it and leads.
+class ControlGroup
+{
+public:
+  ControlGroup()
+  {
+    for (const char* name : kNames) {
+      std::vector<const ControlMember*> seeds;
+      for (const auto& member : members_) {
+        seeds.push_back(member.get());
+      }
+      members_.push_back(std::make_unique<ControlMember>(name, seeds));
+      members_.back()->Start(seeds.empty());
+      const size_t count = members_.size();
+      REQUIRE(WaitUntil([&] { return members_[0]->Voters() == count; }));
+    }
+    for (size_t i = 0; i < members_.size(); ++i) {
+      std::vector<ControlPeer> seeds;
+      for (size_t other = 0; other < members_.size(); ++other) {
+        if (other != i) {
+          seeds.push_back(members_[other]->AsSeed());
+        }
+      }
+      members_[i]->SetSeeds(std::move(seeds));
+    }
+    REQUIRE(WaitUntil([&] { return members_[0]->Commit(1).ok(); }));
+  }
+
+  ControlMember& Leader() { return *members_[0]; }
+  ControlMember& Follower(size_t aNumber) { return *members_[aNumber]; }
+  std::vector<std::unique_ptr<ControlMember>>& Members() { return members_; }
+
+  /// Ends all members at the same time and makes them anew with their data
+  /// folders. They are not started.
+  void Restart()
+  {
+    std::vector<uint16_t> ports;
+    for (const auto& member : members_) {
+      ports.push_back(member->Port());
+      member->KeepFolder();
+    }
+    members_.clear();
+    for (size_t i = 0; i < ports.size(); ++i) {
+      std::vector<const ControlMember*> seeds;
+      if (i > 0) {
+        seeds.push_back(members_[0].get());
+      }
+      members_.push_back(
+        std::make_unique<ControlMember>(kNames.at(i), seeds, ports[i]));
+    }
+  }
+
+private:
+  static constexpr std::array<const char*, 3> kNames{ "control-1",
+                                                      "control-2",
+                                                      "control-3" };
+  std::vector<std::unique_ptr<ControlMember>> members_;
 };
 
 } // namespace foxtail
--- a/tests/control/EvacuationTest.cpp
+++ b/tests/control/EvacuationTest.cpp
@@ -23,42 +23,6 @@
   return std::get<EvacuationResult>(aState.Apply(*decoded));
 }
 
-/// A group of three control instances.
-class Group
-{
-public:
-  Group()
-  {
-    for (const char* name : { "control-1", "control-2", "control-3" }) {
-      std::vector<const ControlMember*> seeds;
-      for (const auto& member : members_) {
-        seeds.push_back(member.get());
-      }
-      members_.push_back(std::make_unique<ControlMember>(name, seeds));
-      members_.back()->Start(seeds.empty());
-      const size_t count = members_.size();
-      REQUIRE(WaitUntil([&] { return members_[0]->Voters() == count; }));
-    }
-    for (size_t i = 0; i < members_.size(); ++i) {
-      std::vector<ControlPeer> seeds;
-      for (size_t other = 0; other < members_.size(); ++other) {
-        if (other != i) {
-          seeds.push_back(members_[other]->AsSeed());
-        }
-      }
-      members_[i]->SetSeeds(std::move(seeds));
-    }
-    REQUIRE(WaitUntil([&] { return members_[0]->Commit(1).ok(); }));
-  }
-
-  ControlMember& Leader() { return *members_[0]; }
-  ControlMember& Follower(size_t aNumber) { return *members_[aNumber]; }
-  std::vector<std::unique_ptr<ControlMember>>& Members() { return members_; }
-
-private:
-  std::vector<std::unique_ptr<ControlMember>> members_;
-};
-
 /// Sends an order by turns to the instances until one confirms it.
 void ResendUntilConfirmed(const std::vector<ControlMember*>& aMembers,
                           const char* aZone,
@@ -151,7 +115,7 @@
 TEST_CASE("evacuation: an instance that lags confirms an order with the number "
           "of orders that it learns of")
 {
-  Group group;
+  ControlGroup group;
   REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
   // The number of before that order, as of an instance that has not applied it.
   const auto outcome =
@@ -202,7 +166,7 @@
 
 TEST_CASE("evacuation: any control instance commits an order")
 {
-  Group group;
+  ControlGroup group;
   CHECK(group.Follower(1).Evacuate("zone-a", true).ok());
   CHECK(group.Follower(2).Evacuate("zone-a", true).ok());
   CHECK(group.Leader().Evacuate("zone-b", true).ok());
@@ -216,7 +180,7 @@
 TEST_CASE("evacuation: an order is confirmed after the leader was lost before "
           "the commit")
 {
-  Group group;
+  ControlGroup group;
   group.Leader().CutOff();
   // The leader, which has lost its group, must not acknowledge.
   CHECK_FALSE(group.Leader().Evacuate("zone-b", true).ok());
@@ -232,7 +196,7 @@
 TEST_CASE("evacuation: an order is confirmed once more after the leader was "
           "lost between the commit and the acknowledgement")
 {
-  Group group;
+  ControlGroup group;
   REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
   group.Leader().CutOff();
   ResendUntilConfirmed(
@@ -248,20 +212,15 @@
 TEST_CASE("evacuation: a restarted instance does not state the set before it "
           "has caught up with a leader")
 {
-  Group group;
+  ControlGroup group;
   REQUIRE(group.Leader().Evacuate("zone-a", true).ok());
-  std::vector<uint16_t> ports;
   for (const auto& member : group.Members()) {
     REQUIRE(WaitUntil([&] { return member->Notified().revision_ == 2; }));
-    ports.push_back(member->Port());
-    member->KeepFolder();
-  }
-  while (!group.Members().empty()) {
-    group.Members().pop_back();
   }
-  ControlMember first("control-1", {}, ports[0]);
-  ControlMember second("control-2", { &first }, ports[1]);
-  ControlMember third("control-3", { &first }, ports[2]);
+  group.Restart();
+  ControlMember& first = group.Leader();
+  ControlMember& second = group.Follower(1);
+  ControlMember& third = group.Follower(2);
   first.Start(false);
   std::this_thread::sleep_for(milliseconds(800));
   CHECK_FALSE(first.Notified().IsKnown());
