Confirm the first document of a starting entry instance by a quorum

Cause: a starting instance took the first text that it received. The 1 s that it waits for all sources only delays its readiness, and a load balancer uses instances that are not ready when none is.

Change: a starting entry instance asks its control instances for a confirmation. Only a leader gives one, by a quorum read after the request was received (FeedReply::confirmation_). policy/StartupDocument decides when the document may be in force: when it is not older than the confirmed version, or after 3 s without a leader, as a zone that is cut off goes on serving with what its control instances followed last. The version is optional, so that "no document was accepted" is confirmed too and a new deployment does not wait. FeedClient keeps the text until then and is not ready.

--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -14,6 +14,9 @@
 constexpr seconds kTrafficLogInterval{ 10 };
 /// A started instance gives permits from the first check that succeeds.
 constexpr milliseconds kContactCheckInterval{ 200 };
+/// Time for a quorum to confirm the newest version: several round trips between
+/// regions, and below FeedClientSettings::replyTimeout_.
+constexpr milliseconds kConfirmTimeout{ 400 };
 
 /// @tparam Instance has the frame endpoint of an instance in endpoint_.
 template<typename Instance>
@@ -75,6 +78,7 @@
       });
     }
   });
+  feed_.SetLatestVersionReader([this] { return ReadLatestVersion(); });
   control_.OnDeparture([this](const ServerAnnouncement& aDeparture) {
     feed_.OnDeparture(aDeparture, Now());
   });
@@ -131,6 +135,18 @@
   return feed_.Digest();
 }
 
+boost::asio::awaitable<absl::StatusOr<LatestVersion>>
+EdgeControl::ReadLatestVersion()
+{
+  auto reading = control_.Read(
+    [](const ControlState& aState) {
+      const DocumentVersion version = aState.Documents().Version();
+      return version.Value() == 0 ? LatestVersion{} : LatestVersion{ version };
+    },
+    kConfirmTimeout);
+  co_return co_await std::move(reading);
+}
+
 void EdgeControl::SetSeeds(std::vector<ControlPeer> aSeeds)
 {
   boost::asio::post(workers_.Context(0),
--- a/src/edge/EdgeControl.h
+++ b/src/edge/EdgeControl.h
@@ -92,6 +92,8 @@
   /// Polls the seeds and the members for the servers that announced themselves
   /// there. Called on worker 0 when one of the lists has changed.
   void PollPeers();
+  /// @return the newest accepted version, confirmed by a quorum.
+  boost::asio::awaitable<absl::StatusOr<LatestVersion>> ReadLatestVersion();
   /// Puts the quotas of an accepted document in force. Called on worker 0.
   void SetQuotas(DocumentVersion aVersion, const std::string& aText);
   /// Called on worker 0 when the members have changed.
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -24,6 +24,7 @@
   , frames_(aFrames)
   , context_(aContext)
   , listener_(aListener)
+  , startupDocument_(settings_.startupDocument_)
 {
 }
 
@@ -48,7 +49,7 @@
 
 bool FeedClient::IsReady(TimePoint aNow) const
 {
-  if (version_.Value() == 0 || IsAwaitingEvacuations(aNow)) {
+  if (version_.Value() == 0 || heldText_ || IsAwaitingEvacuations(aNow)) {
     return false;
   }
   return (HaveAllReplied() && hasServers_) ||
@@ -185,6 +186,11 @@
   if (MayFindNearerSource(aSource, aNow)) {
     request.wait_ = settings_.discoveryTimeout_;
   }
+  request.wantsConfirmation_ =
+    !settings_.isControl_ && !startupDocument_.IsConfirmed();
+  if (request.wantsConfirmation_ && !startupDocument_.MayApply(aNow)) {
+    request.wait_ = std::min(request.wait_, settings_.confirmationInterval_);
+  }
   if (!aSource.hasReplied_) {
     request.wait_ = milliseconds(0);
     return request;
@@ -260,6 +266,7 @@
       }
     }
     RecordLoss(aEndpoint, source, status, now);
+    ReleaseDocument(now);
     if (IsObsolete(aEndpoint, now)) {
       LogLine(LogLevel::Info, "control_forgotten").Add("endpoint", aEndpoint);
       documentSource_ = nullptr;
@@ -664,11 +671,24 @@
     }
     latestKnownVersion_ = aReply.version_;
   }
+  if (aReply.confirmation_ && !startupDocument_.IsConfirmed()) {
+    startupDocument_.OnConfirmed(*aReply.confirmation_);
+    LogLine(LogLevel::Info, "document_confirmed")
+      .Add("version",
+           aReply.confirmation_->version_.value_or(DocumentVersion()))
+      .Add("received", version_)
+      .Add("after_ms", ToMilliseconds(aNow - startedAt_));
+  }
+  ReceiveDocument(aReply, aNow);
+  ReleaseDocument(aNow);
+}
+
+void FeedClient::ReceiveDocument(const FeedReply& aReply, TimePoint aNow)
+{
   if (aReply.compressedText_ == nullptr || aReply.version_ <= version_) {
     return;
   }
-  const auto text =
-    Decompress(*aReply.compressedText_, settings_.maxDocumentBytes_);
+  auto text = Decompress(*aReply.compressedText_, settings_.maxDocumentBytes_);
   if (!text.ok()) {
     LogLine(LogLevel::Error, "document_unreadable")
       .Add("version", aReply.version_)
@@ -681,7 +701,23 @@
   version_ = aReply.version_;
   // A newer version that is still missing has its full timeout from now on.
   documentMissingSince_ = aNow;
-  listener_.OnFeedDocument(version_, *text, aNow);
+  startupDocument_.OnReceived(version_, aNow);
+  heldText_ = *std::move(text);
+}
+
+void FeedClient::ReleaseDocument(TimePoint aNow)
+{
+  if (!heldText_ || !startupDocument_.MayApply(aNow)) {
+    return;
+  }
+  if (!startupDocument_.IsConfirmed()) {
+    LogLine(LogLevel::Warning, "document_not_confirmed")
+      .Add("version", version_)
+      .Add("after_ms", ToMilliseconds(aNow - startedAt_))
+      .Add("reason", "no leader of the control instances replied");
+  }
+  const std::string text = *std::exchange(heldText_, std::nullopt);
+  listener_.OnFeedDocument(version_, text, aNow);
 }
 
 void FeedClient::NotifyEntryCount(TimePoint aNow)
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -50,6 +51,10 @@
   /// sources that have not replied yet, as they may have a newer one, and for
   /// the evacuated zones, which no source states while there is no quorum.
   milliseconds startTimeout_{ 1000 };
+  /// When the first document may be in force.
+  StartupDocumentSettings startupDocument_;
+  /// Interval of the requests for a confirmation of the first document.
+  milliseconds confirmationInterval_{ 200 };
   /// Documents are requested from the nearest source. When it has not sent a
   /// version that another source reports for this long, the other one is asked
   /// for the text: far below the seconds within which a document must be in
@@ -95,7 +100,8 @@
 {
 public:
   virtual ~FeedListener() = default;
-  /// Called with a document that is newer than all before.
+  /// Called with a document that is newer than all before. The first one is the
+  /// newest that control has accepted, as far as a quorum can be reached.
   virtual void OnFeedDocument(DocumentVersion aVersion,
                               const std::string& aText,
                               TimePoint aNow) = 0;
@@ -166,8 +172,9 @@
   /// one does. Called on worker 0.
   void ReportLeavingServer(const FeedLeavingServer& aServer, TimePoint aNow);
 
-  /// @return whether the newest document that any reachable source has and the
-  /// evacuated zones are received, or the wait for them is over.
+  /// @return whether a document is in force, and the newest document that any
+  /// reachable source has and the evacuated zones are received or the wait for
+  /// them is over.
   bool IsReady(TimePoint aNow) const;
   /// @return whether the evacuated zones are not known and may be received
   /// soon.
@@ -284,6 +291,10 @@
   void ApplySlowServers(const FeedReply& aReply, TimePoint aNow);
   void ApplyEvacuations(const FeedReply& aReply, TimePoint aNow);
   void ApplyDocument(const FeedReply& aReply, TimePoint aNow);
+  /// Keeps the text of a reply if it is newer than all before.
+  void ReceiveDocument(const FeedReply& aReply, TimePoint aNow);
+  /// Passes the document that is received last on once it may be in force.
+  void ReleaseDocument(TimePoint aNow);
   void NotifyEntryCount(TimePoint aNow);
   void RecordLoss(const std::string& aEndpoint,
                   Source& aSource,
@@ -303,6 +314,9 @@
   bool hasServers_ = false;
   EvacuatedZones evacuations_;
   DocumentVersion version_;
+  StartupDocument startupDocument_;
+  /// Text of version_ while it may not be in force yet.
+  std::optional<std::string> heldText_;
   TimePoint startedAt_{};
   TimePoint firstDocumentAt_ = TimePoint::max();
   /// Newest version that a source has reported, and the time since which its
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -78,6 +78,18 @@
   return servers;
 }
 
+flatbuffers::Optional<uint64_t> ToWire(std::optional<DocumentVersion> aVersion)
+{
+  return aVersion ? flatbuffers::Optional<uint64_t>(aVersion->Value())
+                  : flatbuffers::nullopt;
+}
+
+std::optional<DocumentVersion> FromWire(
+  flatbuffers::Optional<uint64_t> aVersion)
+{
+  return aVersion ? std::optional(DocumentVersion(*aVersion)) : std::nullopt;
+}
+
 using QuarantineList =
   flatbuffers::Vector<flatbuffers::Offset<wire::FeedQuarantine>>;
 
@@ -242,7 +254,8 @@
                                          quarantines,
                                          aRequest.knownQuarantineRevision_,
                                          leavingServers,
-                                         aRequest.knownEvacuationRevision_));
+                                         aRequest.knownEvacuationRevision_,
+                                         aRequest.wantsConfirmation_));
   return FinishedBytes(builder);
 }
 
@@ -268,7 +281,8 @@
                       FromWire((*root)->quarantines()),
                       (*root)->known_quarantines(),
                       FromWire((*root)->leaving_servers()),
-                      (*root)->known_evacuations() };
+                      (*root)->known_evacuations(),
+                      (*root)->wants_confirmation() };
 }
 
 std::string EncodeFeedReply(const FeedReply& aReply)
@@ -329,6 +343,11 @@
     }
     evacuatedZones = builder.CreateVectorOfStrings(zones);
   }
+  flatbuffers::Offset<wire::FeedConfirmation> confirmation;
+  if (aReply.confirmation_) {
+    confirmation = wire::CreateFeedConfirmation(
+      builder, ToWire(aReply.confirmation_->version_));
+  }
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
@@ -350,7 +369,8 @@
                                        quarantines,
                                        aReply.quarantineRevision_,
                                        evacuatedZones,
-                                       aReply.evacuationRevision_));
+                                       aReply.evacuationRevision_,
+                                       confirmation));
   return FinishedBytes(builder);
 }
 
@@ -397,6 +417,9 @@
     }
   }
   reply.evacuationRevision_ = (*root)->evacuation_revision();
+  if (const auto* confirmation = (*root)->confirmation()) {
+    reply.confirmation_ = LatestVersion{ FromWire(confirmation->version()) };
+  }
   return reply;
 }
 
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -4,9 +4,11 @@
 #include "core/Ids.h"
 #include "policy/CrashSuspects.h"
 #include "policy/ServerDirectory.h"
+#include "policy/StartupDocument.h"
 
 #include <absl/status/statusor.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +96,8 @@
   /// Revision of the evacuated zones that the client has, from whichever
   /// source; 0 for none.
   uint64_t knownEvacuationRevision_ = 0;
+  /// Whether the reply should state the newest version that a quorum confirms.
+  bool wantsConfirmation_ = false;
 };
 
 /// A backend server and the time since its last announcement.
@@ -146,6 +150,9 @@
   /// revision or a later one.
   std::vector<ZoneName> evacuatedZones_;
   uint64_t evacuationRevision_ = 0;
+  /// Confirmed by a quorum after the request was received; only from the
+  /// leader, when the request asks for it.
+  std::optional<LatestVersion> confirmation_;
 };
 
 std::string EncodeFeedRequest(const FeedRequest& aRequest);
--- a/src/feed/FeedSource.cpp
+++ b/src/feed/FeedSource.cpp
@@ -215,6 +215,11 @@
   CompletePolls();
 }
 
+void FeedSource::SetLatestVersionReader(LatestVersionReader aReader)
+{
+  readLatestVersion_ = std::move(aReader);
+}
+
 void FeedSource::OnControlInstances(std::vector<std::string> aEndpoints)
 {
   const std::lock_guard lock(mutex_);
@@ -292,9 +297,19 @@
     co_await batchTimer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
+  std::optional<LatestVersion> confirmation;
+  if (request->wantsConfirmation_ && readLatestVersion_) {
+    auto reading = readLatestVersion_();
+    const auto latest = co_await std::move(reading);
+    if (latest.ok()) {
+      confirmation = *latest;
+    }
+  }
   const std::lock_guard lock(mutex_);
   pendingPolls_.erase(timer);
-  reply.payload_ = EncodeFeedReply(MakeReply(*request, Now()));
+  FeedReply update = MakeReply(*request, Now());
+  update.confirmation_ = confirmation;
+  reply.payload_ = EncodeFeedReply(update);
   co_return reply;
 }
 
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -76,6 +77,15 @@
   /// Sets the accepted document; one that is not newer is ignored.
   void OnDocument(DocumentVersion aVersion,
                   const std::shared_ptr<const std::string>& aText);
+  /// Reads the newest accepted version with confirmation by a quorum; fails on
+  /// an instance that does not lead or reaches no quorum.
+  using LatestVersionReader =
+    std::function<boost::asio::awaitable<absl::StatusOr<LatestVersion>>()>;
+
+  /// Sets what confirms versions to starting entry instances. Call before the
+  /// transport starts; without it nothing is confirmed.
+  void SetLatestVersionReader(LatestVersionReader aReader);
+
   /// Sets the frame endpoints of the control instances.
   void OnControlInstances(std::vector<std::string> aEndpoints);
 
@@ -131,6 +141,7 @@
   void CompletePolls();
   uint32_t CountEntryInstances(TimePoint aNow);
 
+  LatestVersionReader readLatestVersion_;
   const FeedSourceId id_;
   const TimePoint startedAt_;
   const ZoneName zone_;
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -31,6 +31,9 @@
 struct FeedRequest;
 struct FeedRequestBuilder;
 
+struct FeedConfirmation;
+struct FeedConfirmationBuilder;
+
 struct FeedServer;
 struct FeedServerBuilder;
 
@@ -372,7 +375,8 @@
     VT_QUARANTINES = 30,
     VT_KNOWN_QUARANTINES = 32,
     VT_LEAVING_SERVERS = 34,
-    VT_KNOWN_EVACUATIONS = 36
+    VT_KNOWN_EVACUATIONS = 36,
+    VT_WANTS_CONFIRMATION = 38
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -425,6 +429,9 @@
   uint64_t known_evacuations() const {
     return GetField<uint64_t>(VT_KNOWN_EVACUATIONS, 0);
   }
+  bool wants_confirmation() const {
+    return GetField<uint8_t>(VT_WANTS_CONFIRMATION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -453,6 +460,7 @@
            verifier.VerifyVector(leaving_servers()) &&
            verifier.VerifyVectorOfTables(leaving_servers()) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_EVACUATIONS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_CONFIRMATION, 1) &&
            verifier.EndTable();
   }
 };
@@ -512,6 +520,9 @@
   void add_known_evacuations(uint64_t known_evacuations) {
     fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_EVACUATIONS, known_evacuations, 0);
   }
+  void add_wants_confirmation(bool wants_confirmation) {
+    fbb_.AddElement<uint8_t>(FeedRequest::VT_WANTS_CONFIRMATION, static_cast<uint8_t>(wants_confirmation), 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -541,7 +552,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
     uint64_t known_quarantines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>>> leaving_servers = 0,
-    uint64_t known_evacuations = 0) {
+    uint64_t known_evacuations = 0,
+    bool wants_confirmation = false) {
   FeedRequestBuilder builder_(_fbb);
   builder_.add_known_evacuations(known_evacuations);
   builder_.add_known_quarantines(known_quarantines);
@@ -556,6 +568,7 @@
   builder_.add_crashes(crashes);
   builder_.add_slow_servers(slow_servers);
   builder_.add_wait_ms(wait_ms);
+  builder_.add_wants_confirmation(wants_confirmation);
   builder_.add_is_control(is_control);
   builder_.add_wants_servers(wants_servers);
   builder_.add_wants_renewals(wants_renewals);
@@ -581,7 +594,8 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
     uint64_t known_quarantines = 0,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedLeavingServer>> *leaving_servers = nullptr,
-    uint64_t known_evacuations = 0) {
+    uint64_t known_evacuations = 0,
+    bool wants_confirmation = false) {
   auto slow_servers__ = slow_servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedSlowServer>>(*slow_servers) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedCrash>>(*crashes) : 0;
   auto answered__ = answered ? _fbb.CreateVector<uint64_t>(*answered) : 0;
@@ -605,7 +619,49 @@
       quarantines__,
       known_quarantines,
       leaving_servers__,
-      known_evacuations);
+      known_evacuations,
+      wants_confirmation);
+}
+
+struct FeedConfirmation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedConfirmationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4
+  };
+  flatbuffers::Optional<uint64_t> version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedConfirmationBuilder {
+  typedef FeedConfirmation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(FeedConfirmation::VT_VERSION, version);
+  }
+  explicit FeedConfirmationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedConfirmation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedConfirmation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedConfirmation> CreateFeedConfirmation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt) {
+  FeedConfirmationBuilder builder_(_fbb);
+  if(version) { builder_.add_version(*version); }
+  return builder_.Finish();
 }
 
 struct FeedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -910,7 +966,8 @@
     VT_QUARANTINES = 34,
     VT_QUARANTINE_REVISION = 36,
     VT_EVACUATED_ZONES = 38,
-    VT_EVACUATION_REVISION = 40
+    VT_EVACUATION_REVISION = 40,
+    VT_CONFIRMATION = 42
   };
   uint64_t source() const {
     return GetField<uint64_t>(VT_SOURCE, 0);
@@ -969,6 +1026,9 @@
   uint64_t evacuation_revision() const {
     return GetField<uint64_t>(VT_EVACUATION_REVISION, 0);
   }
+  const foxtail::wire::FeedConfirmation *confirmation() const {
+    return GetPointer<const foxtail::wire::FeedConfirmation *>(VT_CONFIRMATION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SOURCE, 8) &&
@@ -1004,6 +1064,8 @@
            verifier.VerifyVector(evacuated_zones()) &&
            verifier.VerifyVectorOfStrings(evacuated_zones()) &&
            VerifyField<uint64_t>(verifier, VT_EVACUATION_REVISION, 8) &&
+           VerifyOffset(verifier, VT_CONFIRMATION) &&
+           verifier.VerifyTable(confirmation()) &&
            verifier.EndTable();
   }
 };
@@ -1069,6 +1131,9 @@
   void add_evacuation_revision(uint64_t evacuation_revision) {
     fbb_.AddElement<uint64_t>(FeedReply::VT_EVACUATION_REVISION, evacuation_revision, 0);
   }
+  void add_confirmation(flatbuffers::Offset<foxtail::wire::FeedConfirmation> confirmation) {
+    fbb_.AddOffset(FeedReply::VT_CONFIRMATION, confirmation);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1103,7 +1168,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>>> quarantines = 0,
     uint64_t quarantine_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones = 0,
-    uint64_t evacuation_revision = 0) {
+    uint64_t evacuation_revision = 0,
+    flatbuffers::Offset<foxtail::wire::FeedConfirmation> confirmation = 0) {
   FeedReplyBuilder builder_(_fbb);
   builder_.add_evacuation_revision(evacuation_revision);
   builder_.add_quarantine_revision(quarantine_revision);
@@ -1114,6 +1180,7 @@
   builder_.add_version(version);
   builder_.add_cursor(cursor);
   builder_.add_source(source);
+  builder_.add_confirmation(confirmation);
   builder_.add_evacuated_zones(evacuated_zones);
   builder_.add_quarantines(quarantines);
   builder_.add_slow_servers(slow_servers);
@@ -1147,7 +1214,8 @@
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedQuarantine>> *quarantines = nullptr,
     uint64_t quarantine_revision = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones = nullptr,
-    uint64_t evacuation_revision = 0) {
+    uint64_t evacuation_revision = 0,
+    flatbuffers::Offset<foxtail::wire::FeedConfirmation> confirmation = 0) {
   auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedServer>>(*servers) : 0;
   auto renewals__ = renewals ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>(*renewals) : 0;
@@ -1176,7 +1244,8 @@
       quarantines__,
       quarantine_revision,
       evacuated_zones__,
-      evacuation_revision);
+      evacuation_revision,
+      confirmation);
 }
 
 inline const foxtail::wire::FeedReply *GetFeedReply(const void *buf) {
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <future>
+#include <mutex>
+#include <optional>
 #include <rapidcheck.h>
 #include <thread>
 
@@ -67,6 +69,14 @@
     , feed_(ZoneName(aZone), frames_, metrics_, aSeed, aStartedAt)
   {
     feed_.OnEvacuations(aEvacuations);
+    feed_.SetLatestVersionReader(
+      [this]() -> boost::asio::awaitable<absl::StatusOr<LatestVersion>> {
+        const std::lock_guard lock(mutex_);
+        if (!confirmed_) {
+          co_return absl::UnavailableError("not the leader");
+        }
+        co_return *confirmed_;
+      });
     frames_.Start().IgnoreError();
     pool_.Start();
   }
@@ -79,7 +89,16 @@
   {
     return "127.0.0.1:" + std::to_string(frames_.Port());
   }
+  /// Sets what the source confirms, without a value nothing. At first it
+  /// confirms every document.
+  void Confirm(std::optional<LatestVersion> aLatest)
+  {
+    const std::lock_guard lock(mutex_);
+    confirmed_ = aLatest;
+  }
 
+  std::mutex mutex_;
+  std::optional<LatestVersion> confirmed_ = LatestVersion{};
   Metrics metrics_;
   WorkerPool pool_;
   FrameTransport frames_;
@@ -272,6 +291,7 @@
   reply.zone_ = ZoneName("zone-a");
   reply.evacuatedZones_ = { ZoneName("zone-b") };
   reply.evacuationRevision_ = 4;
+  reply.confirmation_ = LatestVersion{ DocumentVersion(3) };
   const auto decoded = DecodeFeedReply(EncodeFeedReply(reply));
   REQUIRE(decoded.ok());
   CHECK(*decoded->compressedText_ == "routes");
@@ -288,14 +308,17 @@
   CHECK(decoded->zone_ == reply.zone_);
   CHECK(decoded->evacuatedZones_ == reply.evacuatedZones_);
   CHECK(decoded->evacuationRevision_ == 4);
+  CHECK(decoded->confirmation_->version_ == DocumentVersion(3));
   FeedRequest request;
   request.leavingServers_ = { { BackendId("i-3"), 1700 } };
   request.knownEvacuationRevision_ = 2;
+  request.wantsConfirmation_ = true;
   const auto decodedRequest = DecodeFeedRequest(EncodeFeedRequest(request));
   REQUIRE(decodedRequest.ok());
   CHECK(decodedRequest->leavingServers_[0].id_ == BackendId("i-3"));
   CHECK(decodedRequest->leavingServers_[0].startedAtMs_ == 1700);
   CHECK(decodedRequest->knownEvacuationRevision_ == 2);
+  CHECK(decodedRequest->wantsConfirmation_);
   CHECK_FALSE(DecodeFeedReply("").ok());
   CHECK_FALSE(DecodeFeedRequest("garbage of some length").ok());
   CHECK(rc::check("corrupted bytes never crash the decoder", [&] {
@@ -987,3 +1010,41 @@
   CHECK(Now() - start >= FeedClientSettings{}.startTimeout_);
   CHECK(client.RunOnWorker([&] { return client.evacuations_.empty(); }));
 }
+
+// Requests run by routes, kinds and keys that were replaced while the source
+// stood still.
+TEST_CASE("feed: a starting client does not use the document of a source that "
+          "is behind the others")
+{
+  Source behind("control-1", "zone-a");
+  Source leader("control-2", "zone-b", Now() - seconds(60), 0, 78);
+  behind.Confirm(std::nullopt);
+  leader.Confirm(LatestVersion{ DocumentVersion(2) });
+  behind.feed_.OnDocument(DocumentVersion(1), SharedText("old"));
+  leader.feed_.OnDocument(DocumentVersion(2), SharedText("latest"));
+  Client client({ behind.Endpoint(), leader.Endpoint() });
+  REQUIRE(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+  CHECK(client.RunOnWorker([&] { return client.texts_; }) ==
+        std::vector<std::string>{ "latest" });
+  // Later ones need no confirmation.
+  behind.feed_.OnDocument(DocumentVersion(3), SharedText("newer"));
+  CHECK(client.WaitFor([&] { return client.texts_.size() == 2; }));
+}
+
+TEST_CASE("feed: a starting client that is cut off from the leader uses the "
+          "document of its control instance, after a wait")
+{
+  Source behind("control-1", "zone-a");
+  behind.Confirm(std::nullopt);
+  behind.feed_.OnDocument(DocumentVersion(1), SharedText("old"));
+  const TimePoint start = Now();
+  Client client({ behind.Endpoint() });
+  REQUIRE(client.WaitFor(
+    [&] { return client.feed_.Version() == DocumentVersion(1); }));
+  CHECK_FALSE(client.RunOnWorker([&] { return client.feed_.IsReady(Now()); }));
+  CHECK(client.RunOnWorker([&] { return client.texts_.empty(); }));
+  CHECK(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+  CHECK(Now() - start >= StartupDocumentSettings{}.confirmationTimeout_);
+  CHECK(client.RunOnWorker([&] { return client.texts_; }) ==
+        std::vector<std::string>{ "old" });
+}
