Put no unconfirmed document in force at the start of foxtail-entry

Cause: foxtail-entry was not ready before a quorum had confirmed the document, but put each one that it received until then in force, and its callers' port was open. A control instance that had just started stated the version of its disk in a read that no quorum confirmed; a peer stated what it had itself taken so.

Change: DocumentSpreadService holds what it receives until its start is complete, and forwards it meanwhile. DocumentServer states an unconfirmed version only after the instance has caught up with a leader once. Without a document in force, callers are refused with 503 instead of 404, which would tell them to give up.

--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -73,8 +73,16 @@
 }
 
 HttpResponse UnknownServiceResponse(const RequestId& aRequest,
-                                    const CallerTarget& aTarget)
+                                    const CallerTarget& aTarget,
+                                    const Document& aDocument)
 {
+  if (aDocument.services_.empty()) {
+    return NotRunResponse(HttpStatus::service_unavailable,
+                          aRequest,
+                          ErrorKind::Unavailable,
+                          "this instance has no configuration document yet; "
+                          "resend later or to another instance");
+  }
   const ServiceKind kind = aTarget.route_ == CallerRoute::Query
                              ? ServiceKind::Query
                              : ServiceKind::Action;
@@ -172,7 +180,7 @@
   const bool isAction = target->route_ == CallerRoute::Action;
   if (query.service_ == nullptr ||
       (query.service_->kind_ == ServiceKind::Action) != isAction) {
-    co_return UnknownServiceResponse(query.id_, *target);
+    co_return UnknownServiceResponse(query.id_, *target, *query.document_);
   }
   if (const auto status = ReadQueryOptions(aRequest, query); !status.ok()) {
     co_return InvalidRequestResponse(query.id_, status);
--- a/src/control/DocumentServer.cpp
+++ b/src/control/DocumentServer.cpp
@@ -83,14 +83,15 @@
     known = (*root)->known_version();
     AddReader(aFrom, ToText((*root)->endpoint()));
   }
-  // The reply has a version even without confirmation: a version applied here
-  // was accepted, so a reader with an older one may replace it.
+  // The reply has a version even without confirmation, so that an instance that
+  // is cut off from the leader may use it. The state of a process that has only
+  // read its disk is no such version.
   auto reading = control_.Read(CurrentOf, kConfirmTimeout);
   const auto confirmed = co_await std::move(reading);
-  CurrentDocument current;
+  CurrentDocument current{ {}, std::make_shared<const std::string>() };
   if (confirmed.ok()) {
     current = *confirmed;
-  } else {
+  } else if (control_.HasCaughtUp()) {
     auto inspection =
       control_.Inspect([](const ConsensusNode&, const ControlState& aState) {
         return CurrentOf(aState);
--- a/src/instance/DocumentSpreadService.cpp
+++ b/src/instance/DocumentSpreadService.cpp
@@ -43,7 +43,13 @@
   }
 
   void HandleSpread(const DocumentSpreadMessage& aMessage);
+  /// Puts a document in force, or holds it until the start is complete.
+  ///
+  /// @return whether it is newer than all before and can be parsed, or is held.
+  bool Receive(const VersionedText& aDocument);
   bool Apply(const VersionedText& aDocument);
+  /// @return the newest document received, in force or held.
+  VersionedText Newest() const;
   void Forward(const InstanceId& aOrigin, bool aIsOwnZoneOnly);
   void Send(const std::string& aTo, const DocumentSpreadMessage& aMessage);
   bool IsReader() const;
@@ -73,8 +79,28 @@
   std::shared_ptr<const MembershipView> view_;
   RandomSource random_;
   bool isReadingFromPeer_ = false;
+  /// Newest document received before the start is complete. It is not in force,
+  /// as its sender may have just started too, or may have stood still.
+  VersionedText held_;
 };
 
+bool DocumentSpreadService::Impl::Receive(const VersionedText& aDocument)
+{
+  if (isReady_) {
+    return Apply(aDocument);
+  }
+  if (aDocument.text_.empty() || aDocument.version_ <= Newest().version_) {
+    return false;
+  }
+  held_ = aDocument;
+  return true;
+}
+
+VersionedText DocumentSpreadService::Impl::Newest() const
+{
+  return held_.version_ > holder_.Version() ? held_ : holder_.Get();
+}
+
 bool DocumentSpreadService::Impl::Apply(const VersionedText& aDocument)
 {
   if (aDocument.text_.empty() ||
@@ -102,7 +128,7 @@
                                           bool aIsOwnZoneOnly)
 {
   DocumentSpreadMessage message;
-  message.document_ = holder_.Get();
+  message.document_ = Newest();
   message.endpoint_ = endpoint_;
   message.origin_ = aOrigin;
   for (const Member* child :
@@ -125,7 +151,7 @@
 void DocumentSpreadService::Impl::HandleSpread(
   const DocumentSpreadMessage& aMessage)
 {
-  if (aMessage.document_.version_ <= holder_.Version()) {
+  if (aMessage.document_.version_ <= Newest().version_) {
     return;
   }
   if (aMessage.document_.text_.empty()) {
@@ -133,7 +159,7 @@
       context_, ReadFromPeerAfterJitter(aMessage.endpoint_), asio::detached);
     return;
   }
-  if (!Apply(aMessage.document_)) {
+  if (!Receive(aMessage.document_)) {
     return;
   }
   const bool isRoot = aMessage.origin_.Value().empty();
@@ -165,11 +191,11 @@
 asio::awaitable<bool> DocumentSpreadService::Impl::ReadFromControl()
 {
   const auto reading =
-    co_await source_(holder_.Version(), settings_.readTimeout_);
+    co_await source_(Newest().version_, settings_.readTimeout_);
   if (!reading.ok()) {
     co_return false;
   }
-  if (Apply(reading->document_)) {
+  if (Receive(reading->document_)) {
     Forward(self_, false);
   }
   co_return reading->isConfirmed_;
@@ -185,7 +211,7 @@
   }
   Frame frame;
   frame.kind_ = FrameKind::DocumentRead;
-  frame.payload_ = EncodeDocumentRead(holder_.Version());
+  frame.payload_ = EncodeDocumentRead(Newest().version_);
   const auto reply = co_await transport_.Call(
     *endpoint, std::move(frame), settings_.readTimeout_);
   if (!reply.ok()) {
@@ -195,7 +221,7 @@
   if (!document.ok()) {
     co_return false;
   }
-  Apply(*document);
+  Receive(*document);
   co_return true;
 }
 
@@ -253,6 +279,7 @@
       replies += (co_await ReadFromPeer(peer)) ? 1 : 0;
     }
   }
+  Apply(std::exchange(held_, {}));
   LogLine(isConfirmed || !source_ ? LogLevel::Info : LogLevel::Warning,
           "document_ready")
     .Add("version", holder_.Version())
--- a/tests/caller/QueryTest.cpp
+++ b/tests/caller/QueryTest.cpp
@@ -44,6 +44,17 @@
 
 } // namespace
 
+// 404 tells callers to give up, but another instance has the service.
+TEST_CASE("an instance without a document refuses with 503, one whose document "
+          "lacks the service with 404")
+{
+  CallerFixture starting("[]");
+  CHECK(starting.Post("/v1/query/search").result_int() == 503);
+  CHECK(starting.Post("/v1/action/order").result_int() == 503);
+  CallerFixture running(kQueryServices);
+  CHECK(running.Post("/v1/query/other").result_int() == 404);
+}
+
 TEST_CASE("coverage names each missing shard with its reason")
 {
   struct Row
