Accept a first configuration of version 0

Cause: 0 also meant "no document". DocumentLedger took a version that is not above it as one that is held already, which is acknowledged. Four more places would have lost it after that: reads, the notification of the feed, the feed's messages, and the entry instance, which is not ready with version 0. The range that operators may use begins at 0.

Evidence, the only line on documents in the logs of the five processes:

order_taken version 0 outcome held in_force 0

Permits: a control instance without a document took an asker with version 0 for no newer, and answered that its team has no quota.

Tests: test_control -tc="a document with its own*" and test_edge -tc="edge: a first document*" (restart, read, request) failed before (NotNewer, text {}; neither read nor served).

--- a/src/allowance/AllowanceClient.cpp
+++ b/src/allowance/AllowanceClient.cpp
@@ -79,7 +79,7 @@
                                             TimePoint aUntil,
                                             Callback aCallback)
 {
-  version_ = std::max(version_, aVersion);
+  version_ = std::max(version_, std::optional(aVersion));
   auto waiting =
     std::make_shared<Waiting>(Waiting{ aUntil, std::move(aCallback) });
   queues_[aName].waiting_.push_back(waiting);
--- a/src/allowance/AllowanceClient.h
+++ b/src/allowance/AllowanceClient.h
@@ -87,7 +87,8 @@
   HeldPermits held_;
   ControlChoice choice_;
   std::map<std::string, Queue> queues_;
-  DocumentVersion version_;
+  /// Newest version by which permits were waited for, or none.
+  std::optional<DocumentVersion> version_;
   bool isFlushScheduled_ = false;
   boost::asio::steady_timer timer_;
   TimePoint timerAt_ = TimePoint::max();
--- a/src/allowance/AllowanceLedger.cpp
+++ b/src/allowance/AllowanceLedger.cpp
@@ -149,7 +149,7 @@
 }
 
 AllowanceGrant AllowanceLedger::Grant(const AllowanceAsk& aAsk,
-                                      DocumentVersion aVersion,
+                                      std::optional<DocumentVersion> aVersion,
                                       bool aIsFinal,
                                       TimePoint aNow)
 {
--- a/src/allowance/AllowanceLedger.h
+++ b/src/allowance/AllowanceLedger.h
@@ -56,7 +56,7 @@
   /// @param aVersion document that the entry instance has in force.
   /// @param aIsFinal whether the answer is a refusal when there is no permit.
   AllowanceGrant Grant(const AllowanceAsk& aAsk,
-                       DocumentVersion aVersion,
+                       std::optional<DocumentVersion> aVersion,
                        bool aIsFinal,
                        TimePoint aNow);
   /// Lends permits to another control instance, except those that this one
@@ -127,7 +127,7 @@
 
   const AllowanceSettings settings_;
   std::unordered_map<std::string, Row> accounts_;
-  DocumentVersion version_;
+  std::optional<DocumentVersion> version_;
   size_t instances_ = 0;
   /// Number by which the accounts divide the rates now.
   size_t instancesInForce_ = 0;
--- a/src/allowance/AllowanceMessages.cpp
+++ b/src/allowance/AllowanceMessages.cpp
@@ -37,7 +37,7 @@
   builder.Finish(wire::CreateAllowanceRequest(
     builder,
     list,
-    aRequest.version_.Value(),
+    ToWireVersion(aRequest.version_),
     aRequest.isControl_,
     static_cast<uint32_t>(std::max<int64_t>(0, aRequest.wait_.count()))));
   return FinishedBytes(builder);
@@ -58,7 +58,7 @@
     request.asks_.push_back(
       { ask->name()->str(), ask->amount(), ask->demand(), ask->least() });
   }
-  request.version_ = DocumentVersion((*root)->version());
+  request.version_ = FromWireVersion((*root)->version());
   request.isControl_ = (*root)->is_control();
   request.wait_ = microseconds((*root)->wait_us());
   return request;
--- a/src/allowance/AllowanceMessages.h
+++ b/src/allowance/AllowanceMessages.h
@@ -53,7 +53,8 @@
 struct AllowanceRequest
 {
   std::vector<AllowanceAsk> asks_;
-  DocumentVersion version_;
+  /// Document that the sender has in force, or none.
+  std::optional<DocumentVersion> version_;
   bool isControl_ = false;
   /// How long the reply may wait for permits of other control instances.
   microseconds wait_{ 0 };
--- a/src/allowance/allowance_generated.h
+++ b/src/allowance/allowance_generated.h
@@ -127,8 +127,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::AllowanceAsk>> *asks() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::AllowanceAsk>> *>(VT_ASKS);
   }
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
+  flatbuffers::Optional<uint64_t> version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_VERSION);
   }
   bool is_control() const {
     return GetField<uint8_t>(VT_IS_CONTROL, 0) != 0;
@@ -156,7 +156,7 @@
     fbb_.AddOffset(AllowanceRequest::VT_ASKS, asks);
   }
   void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(AllowanceRequest::VT_VERSION, version, 0);
+    fbb_.AddElement<uint64_t>(AllowanceRequest::VT_VERSION, version);
   }
   void add_is_control(bool is_control) {
     fbb_.AddElement<uint8_t>(AllowanceRequest::VT_IS_CONTROL, static_cast<uint8_t>(is_control), 0);
@@ -179,11 +179,11 @@
 inline flatbuffers::Offset<AllowanceRequest> CreateAllowanceRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::AllowanceAsk>>> asks = 0,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     bool is_control = false,
     uint32_t wait_us = 0) {
   AllowanceRequestBuilder builder_(_fbb);
-  builder_.add_version(version);
+  if(version) { builder_.add_version(*version); }
   builder_.add_wait_us(wait_us);
   builder_.add_asks(asks);
   builder_.add_is_control(is_control);
@@ -193,7 +193,7 @@
 inline flatbuffers::Offset<AllowanceRequest> CreateAllowanceRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<foxtail::wire::AllowanceAsk>> *asks = nullptr,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     bool is_control = false,
     uint32_t wait_us = 0) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<foxtail::wire::AllowanceAsk>>(*asks) : 0;
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -156,7 +156,7 @@
     { "term", aNode.CurrentTerm() },
     { "commit", aNode.CommitIndex() },
     { "last", aNode.Log().LastIndex() },
-    { "version", aState.Documents().Version().Value() },
+    { "version", aState.Documents().BaseVersion().Value() },
     { "claims", aState.Claims().Size() },
     { "members", std::move(members) },
   };
@@ -260,7 +260,7 @@
   // of a co_await expression twice.
   auto visit = [id = std::move(aId)](const ControlState& aState) {
     const DocumentLedger& documents = aState.Documents();
-    return CurrentDocument{ documents.Version(),
+    return CurrentDocument{ documents.BaseVersion(),
                             documents.Text(),
                             documents.FindResult(id) != nullptr };
   };
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -224,15 +224,16 @@
   const auto historyList = builder.CreateVector(history);
   const auto claimList = builder.CreateVector(claims);
   const auto departureList = builder.CreateVector(departures);
-  builder.Finish(wire::CreateControlSnapshot(builder,
-                                             logTime_.count(),
-                                             documents_.Version().Value(),
-                                             text,
-                                             changeList,
-                                             historyList,
-                                             claimList,
-                                             departureList,
-                                             evacuations));
+  builder.Finish(
+    wire::CreateControlSnapshot(builder,
+                                logTime_.count(),
+                                ToWireVersion(documents_.Version()),
+                                text,
+                                changeList,
+                                historyList,
+                                claimList,
+                                departureList,
+                                evacuations));
   return FinishedBytes(builder);
 }
 
@@ -263,7 +264,7 @@
     results.push_back(FromWire(*row));
   }
   logTime_ = milliseconds(root.log_time_ms());
-  documents_.Restore(DocumentVersion(root.version()),
+  documents_.Restore(FromWireVersion(root.version()),
                      root.text()->str(),
                      std::move(history),
                      std::move(results));
--- a/src/control/DocumentLedger.cpp
+++ b/src/control/DocumentLedger.cpp
@@ -21,7 +21,7 @@
     const bool isSame =
       record->bodyHash_ == hash && record->baseVersion_ == aChange.baseVersion_;
     return isSame ? record->result_
-                  : ChangeResult{ ChangeOutcome::IdReused, version_ };
+                  : ChangeResult{ ChangeOutcome::IdReused, BaseVersion() };
   }
   const ChangeResult result = Decide(aChange);
   AddResult({ aChange.changeId_, aChange.baseVersion_, hash, result });
@@ -38,19 +38,20 @@
 ChangeResult DocumentLedger::Adopt(const AdoptDocument& aDocument,
                                    milliseconds aTime)
 {
-  if (aDocument.version_ <= version_) {
-    return { ChangeOutcome::NotNewer, version_ };
+  if (version_ && aDocument.version_ <= *version_) {
+    return { ChangeOutcome::NotNewer, *version_ };
   }
   Accept(aDocument.version_, aDocument.text_, {}, {}, aTime);
-  return { ChangeOutcome::Accepted, version_ };
+  return { ChangeOutcome::Accepted, aDocument.version_ };
 }
 
 ChangeResult DocumentLedger::Decide(const ChangeDocument& aChange) const
 {
-  if (aChange.baseVersion_ != version_) {
-    return { ChangeOutcome::Conflict, version_ };
+  if (aChange.baseVersion_ != BaseVersion()) {
+    return { ChangeOutcome::Conflict, BaseVersion() };
   }
-  return { ChangeOutcome::Accepted, DocumentVersion(version_.Value() + 1) };
+  return { ChangeOutcome::Accepted,
+           DocumentVersion(BaseVersion().Value() + 1) };
 }
 
 void DocumentLedger::AddResult(ChangeRecord aRecord)
@@ -73,7 +74,7 @@
 {
   version_ = aVersion;
   text_ = std::make_shared<const std::string>(aText);
-  history_.push_back({ version_, aId, std::string(aAuthor), aTime, text_ });
+  history_.push_back({ aVersion, aId, std::string(aAuthor), aTime, text_ });
   if (history_.size() > kMaxTexts) {
     history_[history_.size() - 1 - kMaxTexts].text_.reset();
   }
@@ -82,7 +83,7 @@
   }
 }
 
-void DocumentLedger::Restore(DocumentVersion aVersion,
+void DocumentLedger::Restore(std::optional<DocumentVersion> aVersion,
                              std::string aText,
                              std::deque<HistoryEntry> aHistory,
                              std::deque<ChangeRecord> aResults)
--- a/src/control/DocumentLedger.h
+++ b/src/control/DocumentLedger.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -53,7 +54,14 @@
   /// @return the result kept for the change id, or null.
   const ChangeRecord* FindResult(const ChangeId& aId) const;
 
-  DocumentVersion Version() const { return version_; }
+  /// @return the current version, or none before the first document.
+  std::optional<DocumentVersion> Version() const { return version_; }
+  /// @return the version that a ChangeDocument is based on: the current one, or
+  /// 0 before the first document. Versions that changes make begin with 1.
+  DocumentVersion BaseVersion() const
+  {
+    return version_.value_or(DocumentVersion(0));
+  }
   /// @return the current text; never null.
   const std::shared_ptr<const std::string>& Text() const { return text_; }
   /// @return accepted changes in order of version.
@@ -61,7 +69,7 @@
   const std::deque<ChangeRecord>& Results() const { return results_; }
 
   /// Replaces the whole state by that of a snapshot.
-  void Restore(DocumentVersion aVersion,
+  void Restore(std::optional<DocumentVersion> aVersion,
                std::string aText,
                std::deque<HistoryEntry> aHistory,
                std::deque<ChangeRecord> aResults);
@@ -75,7 +83,7 @@
               std::string_view aAuthor,
               milliseconds aTime);
 
-  DocumentVersion version_;
+  std::optional<DocumentVersion> version_;
   std::shared_ptr<const std::string> text_ =
     std::make_shared<const std::string>("{}");
   std::deque<HistoryEntry> history_;
--- a/src/control/DocumentServer.cpp
+++ b/src/control/DocumentServer.cpp
@@ -26,7 +26,7 @@
 
 CurrentDocument CurrentOf(const ControlState& aState)
 {
-  return { aState.Documents().Version(), aState.Documents().Text() };
+  return { aState.Documents().BaseVersion(), aState.Documents().Text() };
 }
 
 std::string EncodeReply(const CurrentDocument& aCurrent,
--- a/src/control/ReplicatedControl.cpp
+++ b/src/control/ReplicatedControl.cpp
@@ -736,7 +736,9 @@
   leaderGauge_.Set(isLeader_ ? 1 : 0);
   termGauge_.Set(static_cast<double>(node_->CurrentTerm()));
   commitGauge_.Set(static_cast<double>(node_->CommitIndex()));
-  versionGauge_.Set(static_cast<double>(state_.Documents().Version().Value()));
+  if (const auto version = state_.Documents().Version()) {
+    versionGauge_.Set(static_cast<double>(version->Value()));
+  }
   claimsGauge_.Set(static_cast<double>(state_.Claims().Size()));
   evacuatedZonesGauge_.Set(
     static_cast<double>(state_.Evacuations().GetRows().zones_.size()));
@@ -789,12 +791,12 @@
 void ReplicatedControl::NotifyDocument()
 {
   const DocumentLedger& documents = state_.Documents();
-  if (!onDocument_ || documents.Version().Value() == 0 ||
-      documents.Version() == notifiedVersion_) {
+  const std::optional<DocumentVersion> version = documents.Version();
+  if (!onDocument_ || !version || version == notifiedVersion_) {
     return;
   }
-  notifiedVersion_ = documents.Version();
-  onDocument_(documents.Version(), documents.Text(), isLeader_);
+  notifiedVersion_ = version;
+  onDocument_(*version, documents.Text(), isLeader_);
 }
 
 void ReplicatedControl::NotifyEvacuations()
--- a/src/control/VersionedDocumentService.cpp
+++ b/src/control/VersionedDocumentService.cpp
@@ -10,9 +10,12 @@
 /// network.
 constexpr milliseconds kQuorumTimeout{ 850 };
 
-LatestDocument LatestOf(const ControlState& aState)
+std::optional<LatestDocument> LatestOf(const ControlState& aState)
 {
-  return { aState.Documents().Version(), aState.Documents().Text() };
+  const DocumentLedger& documents = aState.Documents();
+  const auto version = documents.Version();
+  return version ? std::optional(LatestDocument{ *version, documents.Text() })
+                 : std::nullopt;
 }
 
 } // namespace
@@ -58,10 +61,10 @@
   auto reading = control_.Read(LatestOf, kQuorumTimeout);
   const auto latest = co_await std::move(reading);
   if (latest.ok()) {
-    if (latest->version_.Value() == 0) {
+    if (!latest->has_value()) {
       co_return OutcomeUnconfirmed{ "no document has been accepted yet" };
     }
-    co_return *latest;
+    co_return **latest;
   }
   const std::string leader = co_await FindLeader();
   if (!leader.empty()) {
--- a/src/control/control_generated.h
+++ b/src/control/control_generated.h
@@ -1497,8 +1497,8 @@
   int64_t log_time_ms() const {
     return GetField<int64_t>(VT_LOG_TIME_MS, 0);
   }
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
+  flatbuffers::Optional<uint64_t> version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_VERSION);
   }
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
@@ -1550,7 +1550,7 @@
     fbb_.AddElement<int64_t>(ControlSnapshot::VT_LOG_TIME_MS, log_time_ms, 0);
   }
   void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(ControlSnapshot::VT_VERSION, version, 0);
+    fbb_.AddElement<uint64_t>(ControlSnapshot::VT_VERSION, version);
   }
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(ControlSnapshot::VT_TEXT, text);
@@ -1588,7 +1588,7 @@
 inline flatbuffers::Offset<ControlSnapshot> CreateControlSnapshot(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t log_time_ms = 0,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     flatbuffers::Offset<flatbuffers::String> text = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::ChangeRow>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::HistoryRow>>> history = 0,
@@ -1596,7 +1596,7 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::DepartureRow>>> departures = 0,
     flatbuffers::Offset<foxtail::wire::Evacuations> evacuations = 0) {
   ControlSnapshotBuilder builder_(_fbb);
-  builder_.add_version(version);
+  if(version) { builder_.add_version(*version); }
   builder_.add_log_time_ms(log_time_ms);
   builder_.add_evacuations(evacuations);
   builder_.add_departures(departures);
@@ -1610,7 +1610,7 @@
 inline flatbuffers::Offset<ControlSnapshot> CreateControlSnapshotDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t log_time_ms = 0,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     const char *text = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::ChangeRow>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::HistoryRow>> *history = nullptr,
--- a/src/core/Ids.h
+++ b/src/core/Ids.h
@@ -48,8 +48,9 @@
 /// Increases with each restart of a process, so that messages sent before the
 /// restart can be recognised.
 using Incarnation = StrongId<struct IncarnationTag, uint64_t>;
-/// Version of the accepted configuration document; 0 before the first one is
-/// accepted.
+/// Version of the accepted configuration document. Where documents carry their
+/// own versions, 0 is one of them; control instances that assign versions begin
+/// with 1.
 using DocumentVersion = StrongId<struct DocumentVersionTag, uint64_t>;
 
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -8,6 +8,7 @@
 #include <absl/status/status.h>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -94,6 +95,12 @@
   {
     return Add(aName, aId.Value());
   }
+  /// Adds null when there is no value.
+  template<typename T>
+  LogLine& Add(std::string_view aName, const std::optional<T>& aValue)
+  {
+    return aValue ? Add(aName, *aValue) : AddRaw(aName, "null");
+  }
   LogLine& Add(std::string_view aName, const absl::Status& aStatus);
   /// @param aJson a complete JSON value, already serialised.
   LogLine& AddRaw(std::string_view aName, std::string_view aJson);
--- a/src/edge/EdgeControl.cpp
+++ b/src/edge/EdgeControl.cpp
@@ -140,8 +140,7 @@
 {
   auto reading = control_.Read(
     [](const ControlState& aState) {
-      const DocumentVersion version = aState.Documents().Version();
-      return version.Value() == 0 ? LatestVersion{} : LatestVersion{ version };
+      return LatestVersion{ aState.Documents().Version() };
     },
     kConfirmTimeout);
   co_return co_await std::move(reading);
--- a/src/edge/EdgeInstance.h
+++ b/src/edge/EdgeInstance.h
@@ -109,8 +109,8 @@
   boost::asio::steady_timer readinessTimer_;
   std::atomic<bool> isDraining_{ false };
   std::atomic<bool> isReady_{ false };
-  /// Version of the last document that was readable.
-  DocumentVersion documentInForce_;
+  /// Version of the last document that was readable, or none.
+  std::optional<DocumentVersion> documentInForce_;
   /// Whether the directory is withheld from the gateway, as servers of
   /// evacuated zones cannot be told from others yet.
   bool holdsServers_ = false;
--- a/src/feed/FeedClient.cpp
+++ b/src/feed/FeedClient.cpp
@@ -49,7 +49,7 @@
 
 bool FeedClient::IsReady(TimePoint aNow) const
 {
-  if (version_.Value() == 0 || heldText_ || IsAwaitingEvacuations(aNow)) {
+  if (!version_ || heldText_ || IsAwaitingEvacuations(aNow)) {
     return false;
   }
   return (HaveAllReplied() && hasServers_) ||
@@ -61,8 +61,7 @@
   if (!settings_.hasEvacuations_ || evacuations_.IsKnown()) {
     return false;
   }
-  return version_.Value() == 0 ||
-         aNow - firstDocumentAt_ < settings_.startTimeout_;
+  return !version_ || aNow - firstDocumentAt_ < settings_.startTimeout_;
 }
 
 size_t FeedClient::LiveSources(TimePoint aNow) const
@@ -93,8 +92,9 @@
            settings_.farWait_ + settings_.replyTimeout_;
 }
 
-const FeedClient::Source* FeedClient::FindNearest(DocumentVersion aVersion,
-                                                  TimePoint aNow) const
+const FeedClient::Source* FeedClient::FindNearest(
+  std::optional<DocumentVersion> aVersion,
+  TimePoint aNow) const
 {
   const Source* nearest = nullptr;
   for (const auto& [endpoint, source] : sources_) {
@@ -163,7 +163,7 @@
     aSource.missingServersSince_ != TimePoint::max() &&
     aNow - aSource.missingServersSince_ >= ServersTimeout(aSource);
   return aSource.hasReplied_ &&
-         (isOverdue || FindNearest(DocumentVersion(), aNow) == &aSource);
+         (isOverdue || FindNearest(std::nullopt, aNow) == &aSource);
 }
 
 FeedRequest FeedClient::MakeRequest(const Source& aSource, TimePoint aNow)
@@ -447,7 +447,7 @@
     request.slowServers_.push_back(
       { id, report.ratio_, duration_cast<milliseconds>(now - report.sentAt_) });
   }
-  const Source* nearest = FindNearest(DocumentVersion(), now);
+  const Source* nearest = FindNearest(std::nullopt, now);
   const auto found =
     std::find_if(sources_.begin(), sources_.end(), [&](const auto& aRow) {
       return &aRow.second == nearest;
@@ -541,7 +541,7 @@
     for (const auto& [id, startedAtMs] : leavingReports_) {
       request.leavingServers_.push_back({ id, startedAtMs });
     }
-    const Source* nearest = FindNearest(DocumentVersion(), Now());
+    const Source* nearest = FindNearest(std::nullopt, Now());
     std::vector<std::pair<std::string, FeedRequest>> reports;
     for (const auto& [endpoint, source] : sources_) {
       if (&source == nearest || (isToAll && source.hasReplied_)) {
@@ -674,8 +674,7 @@
   if (aReply.confirmation_ && !startupDocument_.IsConfirmed()) {
     startupDocument_.OnConfirmed(*aReply.confirmation_);
     LogLine(LogLevel::Info, "document_confirmed")
-      .Add("version",
-           aReply.confirmation_->version_.value_or(DocumentVersion()))
+      .Add("version", aReply.confirmation_->version_)
       .Add("received", version_)
       .Add("after_ms", ToMilliseconds(aNow - startedAt_));
   }
@@ -695,13 +694,13 @@
       .Add("error", text.status());
     return;
   }
-  if (version_.Value() == 0) {
+  if (!version_) {
     firstDocumentAt_ = aNow;
   }
   version_ = aReply.version_;
   // A newer version that is still missing has its full timeout from now on.
   documentMissingSince_ = aNow;
-  startupDocument_.OnReceived(version_, aNow);
+  startupDocument_.OnReceived(*version_, aNow);
   heldText_ = *std::move(text);
 }
 
@@ -717,7 +716,7 @@
       .Add("reason", "no leader of the control instances replied");
   }
   const std::string text = *std::exchange(heldText_, std::nullopt);
-  listener_.OnFeedDocument(version_, text, aNow);
+  listener_.OnFeedDocument(*version_, text, aNow);
 }
 
 void FeedClient::NotifyEntryCount(TimePoint aNow)
--- a/src/feed/FeedClient.h
+++ b/src/feed/FeedClient.h
@@ -180,9 +180,13 @@
   /// soon.
   bool IsAwaitingEvacuations(TimePoint aNow) const;
   const ServerDirectory& Directory() const { return directory_; }
-  DocumentVersion Version() const { return version_; }
-  /// @return the newest version that a source has reported.
-  DocumentVersion LatestKnownVersion() const { return latestKnownVersion_; }
+  /// @return the newest version received, or none before the first.
+  std::optional<DocumentVersion> Version() const { return version_; }
+  /// @return the newest version that a source has reported, or none.
+  std::optional<DocumentVersion> LatestKnownVersion() const
+  {
+    return latestKnownVersion_;
+  }
   /// @return when any source last replied; zero before the first reply.
   TimePoint LastReplyAt() const { return lastReplyAt_; }
   /// @return number of sources whose last reply is recent.
@@ -218,8 +222,8 @@
     TimePoint missingServersSince_ = TimePoint::max();
     /// Of the directories of two control instances.
     DirectoryComparison comparison_;
-    /// Document that the source has applied.
-    DocumentVersion version_;
+    /// Document that the source has applied, or none.
+    std::optional<DocumentVersion> version_;
     bool hasReplied_ = false;
     bool isLost_ = false;
   };
@@ -228,8 +232,9 @@
   bool WantsText(const Source& aSource, TimePoint aNow);
   bool IsLive(const Source& aSource, TimePoint aNow) const;
   /// @return the nearest live source that has @p aVersion or a newer one, or
-  /// null.
-  const Source* FindNearest(DocumentVersion aVersion, TimePoint aNow) const;
+  /// null. Without a version, the nearest live source.
+  const Source* FindNearest(std::optional<DocumentVersion> aVersion,
+                            TimePoint aNow) const;
   /// Chooses the source of documents: the nearest, or another one when the
   /// nearest has not sent a version that others report.
   void ChooseDocumentSource(TimePoint aNow);
@@ -313,7 +318,7 @@
   /// Whether a source has sent its servers.
   bool hasServers_ = false;
   EvacuatedZones evacuations_;
-  DocumentVersion version_;
+  std::optional<DocumentVersion> version_;
   StartupDocument startupDocument_;
   /// Text of version_ while it may not be in force yet.
   std::optional<std::string> heldText_;
@@ -321,7 +326,7 @@
   TimePoint firstDocumentAt_ = TimePoint::max();
   /// Newest version that a source has reported, and the time since which its
   /// text is missing.
-  DocumentVersion latestKnownVersion_;
+  std::optional<DocumentVersion> latestKnownVersion_;
   TimePoint documentMissingSince_{};
   /// Elements of sources_, or null.
   const Source* documentSource_ = nullptr;
--- a/src/feed/FeedMessages.cpp
+++ b/src/feed/FeedMessages.cpp
@@ -78,18 +78,6 @@
   return servers;
 }
 
-flatbuffers::Optional<uint64_t> ToWire(std::optional<DocumentVersion> aVersion)
-{
-  return aVersion ? flatbuffers::Optional<uint64_t>(aVersion->Value())
-                  : flatbuffers::nullopt;
-}
-
-std::optional<DocumentVersion> FromWire(
-  flatbuffers::Optional<uint64_t> aVersion)
-{
-  return aVersion ? std::optional(DocumentVersion(*aVersion)) : std::nullopt;
-}
-
 using QuarantineList =
   flatbuffers::Vector<flatbuffers::Offset<wire::FeedQuarantine>>;
 
@@ -240,7 +228,7 @@
   builder.Finish(wire::CreateFeedRequest(builder,
                                          aRequest.source_.Value(),
                                          aRequest.cursor_,
-                                         aRequest.knownVersion_.Value(),
+                                         ToWireVersion(aRequest.knownVersion_),
                                          ToMilliseconds32(aRequest.wait_),
                                          aRequest.wantsText_,
                                          aRequest.wantsRenewals_,
@@ -267,7 +255,7 @@
   }
   return FeedRequest{ FeedSourceId((*root)->source()),
                       (*root)->cursor(),
-                      DocumentVersion((*root)->known_version()),
+                      FromWireVersion((*root)->known_version()),
                       milliseconds((*root)->wait_ms()),
                       (*root)->wants_text(),
                       (*root)->wants_renewals(),
@@ -346,14 +334,14 @@
   flatbuffers::Offset<wire::FeedConfirmation> confirmation;
   if (aReply.confirmation_) {
     confirmation = wire::CreateFeedConfirmation(
-      builder, ToWire(aReply.confirmation_->version_));
+      builder, ToWireVersion(aReply.confirmation_->version_));
   }
   const auto serverList = builder.CreateVector(servers);
   const auto renewalList = builder.CreateVector(renewals);
   builder.Finish(wire::CreateFeedReply(builder,
                                        aReply.source_.Value(),
                                        aReply.cursor_,
-                                       aReply.version_.Value(),
+                                       ToWireVersion(aReply.version_),
                                        text,
                                        serverList,
                                        renewalList,
@@ -383,7 +371,7 @@
   FeedReply reply;
   reply.source_ = FeedSourceId((*root)->source());
   reply.cursor_ = (*root)->cursor();
-  reply.version_ = DocumentVersion((*root)->version());
+  reply.version_ = FromWireVersion((*root)->version());
   if (const auto* text = (*root)->text()) {
     reply.compressedText_ =
       std::make_shared<const std::string>(ToStringView(*text));
@@ -418,7 +406,8 @@
   }
   reply.evacuationRevision_ = (*root)->evacuation_revision();
   if (const auto* confirmation = (*root)->confirmation()) {
-    reply.confirmation_ = LatestVersion{ FromWire(confirmation->version()) };
+    reply.confirmation_ =
+      LatestVersion{ FromWireVersion(confirmation->version()) };
   }
   return reply;
 }
--- a/src/feed/FeedMessages.h
+++ b/src/feed/FeedMessages.h
@@ -63,7 +63,8 @@
   FeedSourceId source_;
   /// Revision of the source's directory up to which the client has all changes.
   uint64_t cursor_ = 0;
-  DocumentVersion knownVersion_;
+  /// None while the client has no document.
+  std::optional<DocumentVersion> knownVersion_;
   /// How long the reply may wait for updates.
   milliseconds wait_{ 0 };
   /// Whether the reply should hold the text of a newer document.
@@ -119,7 +120,8 @@
 {
   FeedSourceId source_;
   uint64_t cursor_ = 0;
-  DocumentVersion version_;
+  /// None when the source has no document.
+  std::optional<DocumentVersion> version_;
   /// Compressed; null unless the request asks for it and the client's version
   /// is older.
   std::shared_ptr<const std::string> compressedText_;
--- a/src/feed/FeedSource.h
+++ b/src/feed/FeedSource.h
@@ -156,7 +156,8 @@
   uint64_t directRevision_ = 0;
   /// When each server last announced itself to this control instance.
   std::unordered_map<BackendId, TimePoint> directAnnouncements_;
-  DocumentVersion version_;
+  /// None before the first document.
+  std::optional<DocumentVersion> version_;
   /// Compressed once for all replies.
   std::shared_ptr<const std::string> compressedText_;
   std::vector<std::string> controls_;
--- a/src/feed/feed_generated.h
+++ b/src/feed/feed_generated.h
@@ -384,8 +384,8 @@
   uint64_t cursor() const {
     return GetField<uint64_t>(VT_CURSOR, 0);
   }
-  uint64_t known_version() const {
-    return GetField<uint64_t>(VT_KNOWN_VERSION, 0);
+  flatbuffers::Optional<uint64_t> known_version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_KNOWN_VERSION);
   }
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
@@ -476,7 +476,7 @@
     fbb_.AddElement<uint64_t>(FeedRequest::VT_CURSOR, cursor, 0);
   }
   void add_known_version(uint64_t known_version) {
-    fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_VERSION, known_version, 0);
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_KNOWN_VERSION, known_version);
   }
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(FeedRequest::VT_WAIT_MS, wait_ms, 0);
@@ -538,7 +538,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t source = 0,
     uint64_t cursor = 0,
-    uint64_t known_version = 0,
+    flatbuffers::Optional<uint64_t> known_version = flatbuffers::nullopt,
     uint32_t wait_ms = 0,
     bool wants_text = false,
     bool wants_renewals = false,
@@ -559,7 +559,7 @@
   builder_.add_known_quarantines(known_quarantines);
   builder_.add_known_slow(known_slow);
   builder_.add_known_controls(known_controls);
-  builder_.add_known_version(known_version);
+  if(known_version) { builder_.add_known_version(*known_version); }
   builder_.add_cursor(cursor);
   builder_.add_source(source);
   builder_.add_leaving_servers(leaving_servers);
@@ -580,7 +580,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t source = 0,
     uint64_t cursor = 0,
-    uint64_t known_version = 0,
+    flatbuffers::Optional<uint64_t> known_version = flatbuffers::nullopt,
     uint32_t wait_ms = 0,
     bool wants_text = false,
     bool wants_renewals = false,
@@ -975,8 +975,8 @@
   uint64_t cursor() const {
     return GetField<uint64_t>(VT_CURSOR, 0);
   }
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
+  flatbuffers::Optional<uint64_t> version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_VERSION);
   }
   const flatbuffers::Vector<uint8_t> *text() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEXT);
@@ -1081,7 +1081,7 @@
     fbb_.AddElement<uint64_t>(FeedReply::VT_CURSOR, cursor, 0);
   }
   void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(FeedReply::VT_VERSION, version, 0);
+    fbb_.AddElement<uint64_t>(FeedReply::VT_VERSION, version);
   }
   void add_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text) {
     fbb_.AddOffset(FeedReply::VT_TEXT, text);
@@ -1152,7 +1152,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t source = 0,
     uint64_t cursor = 0,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedServer>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>>> renewals = 0,
@@ -1177,7 +1177,7 @@
   builder_.add_revision(revision);
   builder_.add_digest(digest);
   builder_.add_controls_number(controls_number);
-  builder_.add_version(version);
+  if(version) { builder_.add_version(*version); }
   builder_.add_cursor(cursor);
   builder_.add_source(source);
   builder_.add_confirmation(confirmation);
@@ -1198,7 +1198,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t source = 0,
     uint64_t cursor = 0,
-    uint64_t version = 0,
+    flatbuffers::Optional<uint64_t> version = flatbuffers::nullopt,
     const std::vector<uint8_t> *text = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedServer>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<foxtail::wire::FeedRenewal>> *renewals = nullptr,
--- a/src/instance/WireCodec.h
+++ b/src/instance/WireCodec.h
@@ -2,9 +2,11 @@
 #define INSTANCE_WIRECODEC_H
 
 #include "core/Error.h"
+#include "core/Ids.h"
 
 #include <absl/status/statusor.h>
 #include <flatbuffers/flatbuffers.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +35,21 @@
   return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
 }
 
+/// @return the field of a message or snapshot that holds a document's version.
+/// It is absent when there is no document, as 0 is a version too.
+inline flatbuffers::Optional<uint64_t> ToWireVersion(
+  std::optional<DocumentVersion> aVersion)
+{
+  return aVersion ? flatbuffers::Optional<uint64_t>(aVersion->Value())
+                  : flatbuffers::nullopt;
+}
+
+inline std::optional<DocumentVersion> FromWireVersion(
+  flatbuffers::Optional<uint64_t> aVersion)
+{
+  return aVersion ? std::optional(DocumentVersion(*aVersion)) : std::nullopt;
+}
+
 inline std::string ToText(const flatbuffers::String* aText)
 {
   return aText == nullptr ? std::string() : aText->str();
--- a/tests/allowance/AllowanceTest.cpp
+++ b/tests/allowance/AllowanceTest.cpp
@@ -478,6 +478,37 @@
   CHECK(ledger.Lend({ "a", 100 }, kStart).amount_ < 0.01);
 }
 
+// The quota of a first document of version 0 did not bind at instances that had
+// no document.
+TEST_CASE("allowance: a ledger without the asker's document grants nothing")
+{
+  struct Case
+  {
+    std::string name_;
+    std::optional<DocumentVersion> ledger_;
+    std::optional<DocumentVersion> asker_;
+    AllowanceOutcome outcome_;
+  };
+  const std::optional<DocumentVersion> none;
+  const std::optional<DocumentVersion> zero = DocumentVersion(0);
+  const std::optional<DocumentVersion> one = DocumentVersion(1);
+  for (const Case& row :
+       { Case{ "none, 0", none, zero, AllowanceOutcome::Refused },
+         Case{ "none, 1", none, one, AllowanceOutcome::Refused },
+         Case{ "0, 1", zero, one, AllowanceOutcome::Refused },
+         Case{ "0, 0", zero, zero, AllowanceOutcome::Unlimited },
+         Case{ "1, 0", one, zero, AllowanceOutcome::Unlimited },
+         Case{ "0, none", zero, none, AllowanceOutcome::Unlimited } }) {
+    CAPTURE(row.name_);
+    AllowanceLedger ledger;
+    if (row.ledger_) {
+      ledger.SetLimits(*row.ledger_, {}, kStart);
+    }
+    CHECK(ledger.Grant({ "a", 1 }, row.asker_, true, kStart).outcome_ ==
+          row.outcome_);
+  }
+}
+
 TEST_CASE("allowance: a refusal states when a permit is expected")
 {
   AllowanceLedger ledger(kSettings);
--- a/tests/control/ControlStateTest.cpp
+++ b/tests/control/ControlStateTest.cpp
@@ -2,6 +2,7 @@
 #include "control/control_generated.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace foxtail;
@@ -382,19 +383,32 @@
   }
 }
 
+// A first document of version 0 was acknowledged and not kept.
 TEST_CASE("a document with its own version keeps it through the encodings of "
           "commands and snapshots")
 {
-  const Command command{ milliseconds(5),
-                         AdoptDocument{ DocumentVersion(41), "routes" } };
-  const auto decoded = DecodeCommand(EncodeCommand(command));
-  REQUIRE(decoded.ok());
-  ControlState state;
-  state.Apply(*decoded);
-  ControlState restored;
-  REQUIRE(restored.Restore(state.TakeSnapshot().Encode()).ok());
-  CHECK(restored.Documents().Version() == DocumentVersion(41));
-  CHECK(*restored.Documents().Text() == "routes");
+  for (const uint64_t number : { uint64_t{ 0 },
+                                 uint64_t{ 41 },
+                                 std::numeric_limits<uint64_t>::max() }) {
+    CAPTURE(number);
+    const DocumentVersion version(number);
+    const auto decoded = DecodeCommand(
+      EncodeCommand({ milliseconds(5), AdoptDocument{ version, "routes" } }));
+    REQUIRE(decoded.ok());
+    ControlState state;
+    ControlState restored;
+    REQUIRE(restored.Restore(state.TakeSnapshot().Encode()).ok());
+    const auto first = std::get<ChangeResult>(restored.Apply(*decoded));
+    CHECK(first.outcome_ == ChangeOutcome::Accepted);
+    CHECK(first.version_ == version);
+    REQUIRE(state.Restore(restored.TakeSnapshot().Encode()).ok());
+    CHECK(state.Documents().Version() == version);
+    CHECK(*state.Documents().Text() == "routes");
+    CHECK(state.Documents().History().size() == 1);
+    const auto again = std::get<ChangeResult>(state.Apply(*decoded));
+    CHECK(again.outcome_ == ChangeOutcome::NotNewer);
+    CHECK(again.version_ == version);
+  }
 }
 
 TEST_CASE("a document with many routes is compressed in the log")
--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -203,6 +203,60 @@
   control.Stop();
 }
 
+// It was acknowledged, and neither read back nor served.
+TEST_CASE(
+  "edge: a first document of version 0 is kept over a restart, read back "
+  "and in force")
+{
+  TemporaryFolder folder;
+  const uint16_t port = FreePort();
+  ScriptedServer server([](const std::string&, size_t) {
+    return ScriptedReply{ "HTTP/1.1 200 OK\r\n" + kHeaderNames.signature_ +
+                          ": sig-1\r\nContent-Length: 4\r\n\r\ngood" };
+  });
+  for (const bool isRestart : { false, true }) {
+    CAPTURE(isRestart);
+    auto data = DataFolder::Open(folder.path_.string());
+    REQUIRE(data.ok());
+    EdgeControlSettings settings = ControlSettingsFor(folder, port);
+    settings.mayBootstrap_ = !isRestart;
+    EdgeControl control(settings, *std::move(data), [] {});
+    REQUIRE(control.Start().ok());
+    EdgeInstance entry(EntrySettingsFor(port), kHeaderNames, DecodeSingleRoute);
+    REQUIRE(entry.Start().ok());
+    const auto complete = [&](auto aOperation) {
+      return boost::asio::co_spawn(control.Workers().Context(0),
+                                   std::move(aOperation),
+                                   boost::asio::use_future)
+        .get();
+    };
+    if (!isRestart) {
+      REQUIRE(WaitUntil([&] {
+        return std::holds_alternative<DocumentCommitted>(
+          complete(control.Documents().Commit(DocumentVersion(0), "proofs")));
+      }));
+    }
+    CHECK(WaitUntil([&] {
+      const ReadOutcome outcome = complete(control.Documents().ReadLatest());
+      const auto* latest = std::get_if<LatestDocument>(&outcome);
+      return latest != nullptr && latest->version_ == DocumentVersion(0) &&
+             *latest->text_ == "proofs";
+    }));
+    ServerAnnouncement announcement;
+    announcement.id_ = BackendId("i-1");
+    announcement.service_ = ServiceName("proofs");
+    announcement.address_ = server.Address();
+    announcement.zone_ = ZoneName("zone-a");
+    control.Feed().OnAnnouncement(announcement, Now());
+    CHECK(WaitUntil([&] {
+      return entry.NotReadyReason().empty() &&
+             SendRequest(entry.CallersPort())->result_int() == 200;
+    }));
+    entry.Stop();
+    control.Stop();
+  }
+}
+
 TEST_CASE("edge: a key that the feed cannot vouch for is answered with 503")
 {
   TemporaryFolder folder;
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <future>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <rapidcheck.h>
@@ -1011,6 +1012,42 @@
   CHECK(client.RunOnWorker([&] { return client.evacuations_.empty(); }));
 }
 
+// A source did not tell it from the lack of a document.
+TEST_CASE("feed: a document of version 0 is received and replaced by version 1")
+{
+  Source source("control-1", "zone-a");
+  Client client({ source.Endpoint() });
+  source.Confirm(LatestVersion{ DocumentVersion(0) });
+  source.feed_.OnDocument(DocumentVersion(0), SharedText("first"));
+  REQUIRE(client.WaitFor([&] { return client.feed_.IsReady(Now()); }));
+  source.feed_.OnDocument(DocumentVersion(0), SharedText("other"));
+  source.feed_.OnDocument(DocumentVersion(1), SharedText("second"));
+  REQUIRE(client.WaitFor([&] { return client.texts_.size() == 2; }));
+  CHECK(client.RunOnWorker([&] { return client.texts_; }) ==
+        std::vector<std::string>{ "first", "second" });
+}
+
+TEST_CASE("feed: messages tell version 0 from the lack of a document")
+{
+  for (const std::optional<DocumentVersion>& version :
+       { std::optional<DocumentVersion>(),
+         std::optional(DocumentVersion(0)),
+         std::optional(
+           DocumentVersion(std::numeric_limits<uint64_t>::max())) }) {
+    FeedRequest request;
+    request.knownVersion_ = version;
+    CHECK(DecodeFeedRequest(EncodeFeedRequest(request))->knownVersion_ ==
+          version);
+    FeedReply reply;
+    reply.version_ = version;
+    reply.confirmation_ = LatestVersion{ version };
+    const auto decoded = DecodeFeedReply(EncodeFeedReply(reply));
+    REQUIRE(decoded.ok());
+    CHECK(decoded->version_ == version);
+    CHECK(decoded->confirmation_->version_ == version);
+  }
+}
+
 // Requests run by routes, kinds and keys that were replaced while the source
 // stood still.
 TEST_CASE("feed: a starting client does not use the document of a source that "
