--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -2,7 +2,9 @@
 #include "platform/HeartbeatCodec.h"
 #include "platform/RouteDocumentCodec.h"
 
+#include <cstring>
 #include <doctest/doctest.h>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace foxtail;
@@ -70,6 +72,44 @@
   CHECK(document->limits_.idleTimeout_ == milliseconds(15000));
 }
 
+// A priority of 2^32 was served first, a query with a top_k of 2^32 was
+// answered with no record, and a time limit of 2^63 ms or more was refused as
+// 0.
+TEST_CASE("document: numbers beyond their types do not wrap to small ones")
+{
+  constexpr uint32_t kMax = std::numeric_limits<uint32_t>::max();
+  constexpr milliseconds kYear = std::chrono::hours(24 * 365);
+  for (const char* number : { "4294967296", "18446744073709551615" }) {
+    CAPTURE(std::string(number));
+    std::string text = kDocument;
+    for (const char* member : { "\"priority\":2",
+                                "\"max_attempts\":2",
+                                "\"top_k\":5",
+                                "\"max_conns\":31",
+                                "\"max_header_bytes\":16384",
+                                "\"timeout_ms\":2500",
+                                "\"objective_ms\":150",
+                                "\"idle_timeout_ms\":15000" }) {
+      const std::string name(member, std::strchr(member, ':') + 1);
+      text = With(text, member, name + number);
+    }
+    const auto document = DecodeRouteDocument(text);
+    REQUIRE(document.ok());
+    CHECK(document->Validate().ok());
+    const Route& route = document->routes_[0];
+    CHECK(route.priority_ == kMax);
+    CHECK(route.maxAttempts_ == kMax);
+    CHECK(std::get<GatherTarget>(route.target_).topRecords_ == kMax);
+    CHECK(document->services_[0].maxConnections_ == kMax);
+    CHECK(document->limits_.maxHeaderBytes_ == kMax);
+    for (const milliseconds time :
+         { route.timeout_, route.objective_, document->limits_.idleTimeout_ }) {
+      CHECK(time >= milliseconds(kMax));
+      CHECK(time <= kYear);
+    }
+  }
+}
+
 TEST_CASE("document: teams, regions and warm-up are decoded into their fields")
 {
   const std::string teams =
