Let a query for more records than there are wait for all shards

Callers saw: with a top_k of 1,000,000 a query was answered with the first part that was allowed, well before its objective.

Cause: GatherRequestHandler estimates the answer as top_k records of 16 bytes and takes the time to send it off the time for the query: 9 s on a link of 14 Mbit/s.

Change: the estimate does not exceed the bytes of the parts received.

Test: test_forward -tc="a query for more records*" failed before (1 of 2 shards missing).

--- a/src/forward/GatherRequestHandler.cpp
+++ b/src/forward/GatherRequestHandler.cpp
@@ -127,6 +127,7 @@
   if (isPart) {
     parts_[shard].signature_ = std::move(aExchange.reply_.signature_);
     parts_[shard].records_ = std::move(aExchange.reply_.body_);
+    receivedBytes_ += parts_[shard].records_.size();
     SetPartState(shard, PartState::Included, aNow);
   } else if (attempts_[shard].outstanding_.empty()) {
     if (MayCrashServers()) {
@@ -272,8 +273,9 @@
   // Status line and header names; a signature with its separator.
   constexpr size_t kHeadBytes = 250;
   constexpr size_t kSignatureBytes = 34;
+  // The route may ask for more records than there are.
   return kHeadBytes + kSignatureBytes * parts_.size() +
-         kRecordBytes * target_.topRecords_;
+         std::min(kRecordBytes * target_.topRecords_, receivedBytes_);
 }
 
 bool GatherRequestHandler::NeedsMoreParts() const
--- a/src/forward/GatherRequestHandler.h
+++ b/src/forward/GatherRequestHandler.h
@@ -81,6 +81,8 @@
   /// One element per shard, in the order of GatherTarget::shards_.
   std::vector<ServiceAttempts> attempts_;
   std::vector<Part> parts_;
+  /// Bytes of the records of all parts received.
+  size_t receivedBytes_ = 0;
   /// Whether the query is sent to one shard until a server replies, as servers
   /// have crashed under it before.
   bool isSuspect_ = false;
--- a/tests/forward/GatherRequestHandlerTest.cpp
+++ b/tests/forward/GatherRequestHandlerTest.cpp
@@ -111,6 +111,29 @@
   CHECK(HeaderOf(response, kHeaders.signature_) == "");
 }
 
+// The time to send that many records was taken off the time for the query, so
+// that it was answered with the first part.
+TEST_CASE("a query for more records than there are waits for all shards")
+{
+  const std::string part = RecordOf('b') + RecordOf('a');
+  ScriptedServer one(PartScript(part, "sig-1"));
+  ScriptedServer two([&](const std::string&, size_t) {
+    return ScriptedReply{ SignedReply(part, "sig-2"), milliseconds(50) };
+  });
+  ForwardSettings settings = ForwardFixture::StartedSettings();
+  settings.link_.megabitsPerSecond_ = 14;
+  ForwardFixture fixture(settings);
+  RouteDocument document = GatherRoute({ "s1", "s2" }, 0.5);
+  std::get<GatherTarget>(document.routes_.back().target_).topRecords_ = 1000000;
+  fixture.SetRoutes(std::move(document));
+  fixture.Announce("i-1", "s1", one.Address());
+  fixture.Announce("i-2", "s2", two.Address());
+  const HttpResponse response = fixture.Get("/all/x");
+  CHECK(response.result_int() == 200);
+  CHECK(HeaderOf(response, kHeaders.missingShards_) == "0");
+  CHECK(response.body().size() == 4 * kRecordBytes);
+}
+
 TEST_CASE("a query with a shard that does not reply")
 {
   ScriptedServer one(PartScript(RecordOf('b'), "sig-1"));
