Wait without limit for a version that a quorum has confirmed

A starting entry instance put an older document in force after 3 s although a leader had told it of a newer one whose text was still missing.

A warm-up time in a configuration of more than a year is taken for a year, like the other times.

Tests: rows of test_policy -tc="startup document*" that expected the older one after the wait now expect none; test_platform -tc="document: numbers beyond*".

--- a/src/policy/StartupDocument.cpp
+++ b/src/policy/StartupDocument.cpp
@@ -17,8 +17,7 @@
 
 void StartupDocument::OnConfirmed(const LatestVersion& aLatest)
 {
-  // An earlier confirmation was requested after the start as well, so it is as
-  // good as a later one, and an older version satisfies it.
+  // Each was requested after the start, so the first one is enough.
   if (!confirmed_) {
     confirmed_ = aLatest;
   }
@@ -29,8 +28,10 @@
   if (!received_) {
     return false;
   }
-  const bool isLatest = confirmed_ && received_ >= confirmed_->version_;
-  return isLatest || aNow - firstReceivedAt_ >= settings_.confirmationTimeout_;
+  if (confirmed_) {
+    return received_ >= confirmed_->version_;
+  }
+  return aNow - firstReceivedAt_ >= settings_.confirmationTimeout_;
 }
 
 } // namespace foxtail
--- a/src/policy/StartupDocument.h
+++ b/src/policy/StartupDocument.h
@@ -14,7 +14,8 @@
   /// to confirm the newest version. Then it is cut off from the leader and
   /// serves with the newest document that its control instances have followed,
   /// as instances do that were cut off while they ran. Longer than several
-  /// elections.
+  /// elections. A version that a quorum has confirmed is waited for without
+  /// limit.
   milliseconds confirmationTimeout_{ 3000 };
 };
 
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -93,9 +93,11 @@
       const std::string name(member, std::strchr(member, ':') + 1);
       text = With(text, member, name + number);
     }
+    text = With(text, "{\"name\":\"s2\"}", R"({"name":"s2","warmup_s":1e300})");
     const auto document = DecodeRouteDocument(text);
     REQUIRE(document.ok());
     CHECK(document->Validate().ok());
+    CHECK(document->services_[1].warmup_ == kYear);
     const Route& route = document->routes_[0];
     CHECK(route.priority_ == kMax);
     CHECK(route.maxAttempts_ == kMax);
--- a/tests/policy/StartupDocumentTest.cpp
+++ b/tests/policy/StartupDocumentTest.cpp
@@ -45,7 +45,7 @@
       LatestVersion{ version(8) },
       none,
       false,
-      true },
+      false },
     { "the newer one arrives",
       version(7),
       LatestVersion{ version(8) },
@@ -81,7 +81,7 @@
       LatestVersion{ version(1) },
       none,
       false,
-      true },
+      false },
   };
   for (const Case& row : cases) {
     CAPTURE(row.name_);
