--- a/tests/platform/soak/machines.py
+++ b/tests/platform/soak/machines.py
@@ -27,6 +27,7 @@
         self.is_held = False
         self.is_stopping = False
         self.ended_at = 0.0
+        self.starts = []  # of the program, by time.monotonic()
         self.own_ends = 0
         self.disk_limit = None
 
@@ -50,6 +51,7 @@
                 resource.setrlimit(resource.RLIMIT_FSIZE,
                                    (limit, resource.RLIM_INFINITY))
 
+        self.starts.append(time.monotonic())
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
                 [os.path.join(self.fleet.build, program)], stdout=log,
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -68,6 +68,7 @@
     reads: list = field(default_factory=list)
     drains: dict = field(default_factory=dict)  # server: acknowledged at
     spans: list = field(default_factory=list)
+    starts: dict = field(default_factory=dict)  # entry: times of its starts
     calm_from: float = 0.0  # no fault from here on
 
     def is_troubled(self, who, begin, end, what="trouble"):
@@ -205,6 +206,29 @@
     return faults
 
 
+def starts_keep_orders(history):
+    """An instance that has just started, whatever else did, handles no request
+    by a version older than the newest acknowledged one. Without a leader it
+    may, after a wait."""
+    acked = [(order.acked_at, order.version) for order in history.orders
+             if order.acked_at is not None]
+    runs = history.runs_of()
+    faults = []
+    for request in history.requests:
+        started = max((at for at in history.starts.get(request.entry, [])
+                       if at < request.sent_at), default=0.0)
+        due = max((version for at, version in acked if at < started), default=0)
+        allowed = {wire.MARKERS[order.version % 2] for order in history.orders
+                   if order.version >= due}
+        faults += [f"{request.id}: ran at {run.service} {run.at - started:.2f} "
+                   f"s after the start, version {due} was due"
+                   for run in runs.get(request.id, [])
+                   if request.route == "which" and not run.is_refused and
+                   run.service not in allowed and
+                   run.at < started + wire.UNCONFIRMED_S]
+    return faults
+
+
 def drained_left_alone(history):
     entries = {request.id: request for request in history.requests}
     faults = []
@@ -257,5 +281,5 @@
 
 PROMISES = {check.__name__: check for check in (
     whole_answers, at_most_once, not_run_is_true, budgets_kept, orders_kept,
-    orders_in_force, drained_left_alone, stops_cut_nothing, answers_in_time,
+    orders_in_force, starts_keep_orders, drained_left_alone, stops_cut_nothing, answers_in_time,
     service_is_back)}
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -56,6 +56,8 @@
             break
         await asyncio.sleep(0.2)
     world.is_over = True
+    history.starts = {machine.name: [at - world.begin for at in machine.starts]
+                      for machine in fleet.entries}
     await asyncio.sleep(0.3)
     for task in tasks:
         task.cancel()
--- a/tests/platform/soak/wire.py
+++ b/tests/platform/soak/wire.py
@@ -23,6 +23,8 @@
 GRACE_S = 6.0
 RECOVERY_S = 12.0
 CATCH_UP_S = 4.0
+# How long an entry instance that starts waits for a leader.
+UNCONFIRMED_S = 3.0
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 30
 BUDGET_WINDOW_S = 10.0
--- a/tests/system/soak_test.py
+++ b/tests/system/soak_test.py
@@ -119,6 +119,16 @@
         self.accept("orders_in_force", marked(5, wire.MARKERS[0], [
             Span("trouble", "entry-0", 7.0, 8.0)]))
 
+    def test_starts_keep_orders(self):
+        # Unlike the bound on orders, it holds for instances in trouble too.
+        trouble = [Span("trouble", "entry-0", 7.0, 8.0)]
+        for started, run_by, is_kept in ((8.5, 1, True), (8.5, 0, False),
+                                         (1.0, 0, True), (5.0, 0, True)):
+            history = marked(5, wire.MARKERS[run_by], trouble)
+            history.starts = {"entry-0": [0.0, started]}
+            check = self.accept if is_kept else self.reject
+            check("starts_keep_orders", history)
+
     def test_drains_and_stops(self):
         request = Request("r-1", "one", "entry-0", 9.0, 9.1, 200, ["s-1"])
         run = Run(9.05, "r-1", "one", "i-1", "s-1")
