--- a/tests/edge/EdgeTest.cpp
+++ b/tests/edge/EdgeTest.cpp
@@ -88,6 +88,17 @@
   return document;
 }
 
+/// Announces a server of the service "proofs" to a control instance.
+void AnnounceServer(EdgeControl& aControl, const ScriptedServer& aServer)
+{
+  ServerAnnouncement announcement;
+  announcement.id_ = BackendId("i-1");
+  announcement.service_ = ServiceName("proofs");
+  announcement.address_ = aServer.Address();
+  announcement.zone_ = ZoneName("zone-a");
+  aControl.Feed().OnAnnouncement(announcement, Now());
+}
+
 absl::StatusOr<HttpResponse> SendRequest(uint16_t aPort)
 {
   HttpRequest request = MakeRequest(boost::beast::http::verb::get, "/1");
@@ -175,12 +186,7 @@
                             ": sig-1\r\nContent-Length: 4\r\n\r\ngood",
                           milliseconds(500) };
   });
-  ServerAnnouncement announcement;
-  announcement.id_ = BackendId("i-1");
-  announcement.service_ = ServiceName("proofs");
-  announcement.address_ = server.Address();
-  announcement.zone_ = ZoneName("zone-a");
-  control.Feed().OnAnnouncement(announcement, Now());
+  AnnounceServer(control, server);
   REQUIRE(WaitUntil([&] {
     return entry.NotReadyReason().empty() &&
            SendRequest(entry.CallersPort())->result_int() == 200;
@@ -242,12 +248,7 @@
       return latest != nullptr && latest->version_ == DocumentVersion(0) &&
              *latest->text_ == "proofs";
     }));
-    ServerAnnouncement announcement;
-    announcement.id_ = BackendId("i-1");
-    announcement.service_ = ServiceName("proofs");
-    announcement.address_ = server.Address();
-    announcement.zone_ = ZoneName("zone-a");
-    control.Feed().OnAnnouncement(announcement, Now());
+    AnnounceServer(control, server);
     CHECK(WaitUntil([&] {
       return entry.NotReadyReason().empty() &&
              SendRequest(entry.CallersPort())->result_int() == 200;
--- a/tests/system/departure_test.py
+++ b/tests/system/departure_test.py
@@ -173,19 +173,25 @@
         await asyncio.sleep(wire.CATCH_UP_S if loss == "wipe" else 1.0)
 
 
+def play_with_fleet(play):
+    """Runs play(fleet) with three control and two entry instances, which are
+    not started, and a folder for their files."""
+    folder = tempfile.mkdtemp(prefix="foxtail-fleet-")
+    number, holder = claim_number()
+    fleet = Fleet(BUILD, folder, entries=2, number=number)
+    try:
+        asyncio.run(play(fleet))
+    finally:
+        fleet.stop()
+        holder.close()
+        shutil.rmtree(folder)
+
+
 class DepartureTest(unittest.TestCase):
     def test_acknowledged_departures_outlive_losses(self):
         # A server that had left stayed in use until its address was gone: the
         # control instance that acknowledged kept the departure in memory.
-        folder = tempfile.mkdtemp(prefix="foxtail-departure-")
-        number, holder = claim_number()
-        fleet = Fleet(BUILD, folder, entries=2, number=number)
-        try:
-            asyncio.run(self.play_all(fleet))
-        finally:
-            fleet.stop()
-            holder.close()
-            shutil.rmtree(folder)
+        play_with_fleet(self.play_all)
 
     async def play_all(self, fleet):
         random.seed(1)
--- a/tests/system/evacuation_test.py
+++ b/tests/system/evacuation_test.py
@@ -4,17 +4,15 @@
 import argparse
 import asyncio
 import os
-import shutil
 import signal
 import sys
-import tempfile
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import departure_test  # noqa: E402
 from departure_test import CALL_FAILURES, SERVICE, Deployment  # noqa: E402
-from departure_test import Fleet, call, claim_number, wire  # noqa: E402
+from departure_test import call, wire  # noqa: E402
 
 EVACUATE_S = 5.0
 OBSERVED_S = 2.0
@@ -28,15 +26,7 @@
 class EvacuationTest(unittest.TestCase):
     def test_acknowledged_evacuations_outlive_losses(self):
         # A restarted process that lacks the evacuation would use the zone.
-        folder = tempfile.mkdtemp(prefix="foxtail-evacuation-")
-        number, holder = claim_number()
-        fleet = Fleet(departure_test.BUILD, folder, entries=2, number=number)
-        try:
-            asyncio.run(self.play(fleet))
-        finally:
-            fleet.stop()
-            holder.close()
-            shutil.rmtree(folder)
+        departure_test.play_with_fleet(self.play)
 
     async def play(self, fleet):
         deployment = Deployment(fleet)
--- a/tests/system/restarted_document_test.py
+++ b/tests/system/restarted_document_test.py
@@ -6,16 +6,14 @@
 import json
 import os
 import secrets
-import shutil
 import sys
-import tempfile
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import departure_test  # noqa: E402
 from departure_test import CALL_FAILURES, Deployment  # noqa: E402
-from departure_test import Fleet, call, claim_number, wire  # noqa: E402
+from departure_test import call, wire  # noqa: E402
 
 # Enough bytes that are not compressed for control to replace its log by a
 # snapshot.
@@ -65,15 +63,7 @@
     # Requests ran by the kinds of routes and the keys of earlier versions, so
     # that some ran twice and some as the team that had held their key.
     def test_a_restart_of_all_processes(self):
-        folder = tempfile.mkdtemp(prefix="foxtail-restart-")
-        number, holder = claim_number()
-        fleet = Fleet(departure_test.BUILD, folder, entries=2, number=number)
-        try:
-            asyncio.run(self.play(fleet))
-        finally:
-            fleet.stop()
-            holder.close()
-            shutil.rmtree(folder)
+        departure_test.play_with_fleet(self.play)
 
     async def play(self, fleet):
         deployment = Deployment(fleet)
