--- a/src/instance/DocumentSpreadService.cpp
+++ b/src/instance/DocumentSpreadService.cpp
@@ -45,7 +45,7 @@
   void HandleSpread(const DocumentSpreadMessage& aMessage);
   /// Puts a document in force, or holds it until the start is complete.
   ///
-  /// @return whether it is newer than all before and can be parsed, or is held.
+  /// @return whether it is newer than all before and was held or put in force.
   bool Receive(const VersionedText& aDocument);
   bool Apply(const VersionedText& aDocument);
   /// @return the newest document received, in force or held.
@@ -80,7 +80,7 @@
   RandomSource random_;
   bool isReadingFromPeer_ = false;
   /// Newest document received before the start is complete. It is not in force,
-  /// as its sender may have just started too, or may have stood still.
+  /// as its sender may have just started too, or may have been paused.
   VersionedText held_;
 };
 
--- a/src/policy/StartupDocument.h
+++ b/src/policy/StartupDocument.h
@@ -10,12 +10,12 @@
 
 struct StartupDocumentSettings
 {
-  /// A starting instance waits this long, from its first document, for a quorum
-  /// to confirm the newest version. Then it is cut off from the leader and
-  /// serves with the newest document that its control instances have followed,
-  /// as instances do that were cut off while they ran. Longer than several
-  /// elections. A version that a quorum has confirmed is waited for without
-  /// limit.
+  /// How long a starting instance waits, from its first document on, for a
+  /// quorum to confirm the newest version: longer than several elections. After
+  /// it, the instance is taken to be cut off from the leader and uses the
+  /// newest document of its control instances, as those do that were cut off
+  /// while they ran. A version that a quorum has confirmed is waited for
+  /// without limit.
   milliseconds confirmationTimeout_{ 3000 };
 };
 
@@ -27,9 +27,9 @@
   std::optional<DocumentVersion> version_;
 };
 
-/// Decides from when on a starting instance may put the newest document that it
-/// has received in force. The control instance that sent it may have stood
-/// still, or lost its leader, and lack a version that was acknowledged. An
+/// Decides when a starting instance may put the newest document that it has
+/// received in force. The control instance that sent it may have been paused,
+/// or have lost its leader, and lack a version that was acknowledged. An
 /// instance that has a document in force needs no confirmation for newer ones.
 class StartupDocument
 {
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -1048,8 +1048,8 @@
   }
 }
 
-// Requests run by routes, kinds and keys that were replaced while the source
-// stood still.
+// Requests ran by routes, kinds and keys that were replaced while the source
+// was paused.
 TEST_CASE("feed: a starting client does not use the document of a source that "
           "is behind the others")
 {
--- a/tests/instance/DocumentSpreadTest.cpp
+++ b/tests/instance/DocumentSpreadTest.cpp
@@ -38,7 +38,7 @@
     std::vector<uint64_t> applied_;
   };
   const Case cases[] = {
-    { "a control instance that stood still replies first",
+    { "a control instance that was paused replies first",
       { { MakeDocument(1), false }, { MakeDocument(2), true } },
       { 2 } },
     { "no quorum can be reached", { { MakeDocument(1), false } }, { 1 } },
--- a/tests/policy/StartupDocumentTest.cpp
+++ b/tests/policy/StartupDocumentTest.cpp
@@ -5,7 +5,7 @@
 
 using namespace foxtail;
 
-// A control instance that stood still sends an old document; with it, requests
+// A control instance that was paused sends an old document; with it, requests
 // run by routes and keys that were replaced before the instance started.
 TEST_CASE("startup document: an old document is not put in force before a "
           "newer one that was acknowledged")
