--- a/tests/caller/QueryTest.cpp
+++ b/tests/caller/QueryTest.cpp
@@ -44,7 +44,8 @@
 
 } // namespace
 
-// 404 tells callers to give up, but another instance has the service.
+// It refused with 404, which is final, although other instances had the
+// service.
 TEST_CASE("an instance without a document refuses with 503, one whose document "
           "lacks the service with 404")
 {
--- a/tests/control/ControlMember.h
+++ b/tests/control/ControlMember.h
@@ -221,7 +221,7 @@
   ControlMember& Follower(size_t aNumber) { return *members_[aNumber]; }
   std::vector<std::unique_ptr<ControlMember>>& Members() { return members_; }
 
-  /// Ends all members at the same time and makes them anew with their data
+  /// Ends all members, the leader last, and makes them anew with their data
   /// folders. They are not started.
   void Restart()
   {
@@ -230,7 +230,9 @@
       ports.push_back(member->Port());
       member->KeepFolder();
     }
-    members_.clear();
+    while (!members_.empty()) {
+      members_.pop_back();
+    }
     for (size_t i = 0; i < ports.size(); ++i) {
       std::vector<const ControlMember*> seeds;
       if (i > 0) {
--- a/tests/feed/FeedTest.cpp
+++ b/tests/feed/FeedTest.cpp
@@ -1012,7 +1012,7 @@
   CHECK(client.RunOnWorker([&] { return client.evacuations_.empty(); }));
 }
 
-// A source did not tell it from the lack of a document.
+// Version 0 was taken for the lack of a document.
 TEST_CASE("feed: a document of version 0 is received and replaced by version 1")
 {
   Source source("control-1", "zone-a");
@@ -1027,7 +1027,7 @@
         std::vector<std::string>{ "first", "second" });
 }
 
-TEST_CASE("feed: messages tell version 0 from the lack of a document")
+TEST_CASE("feed: version 0 and the lack of a document differ in messages")
 {
   for (const std::optional<DocumentVersion>& version :
        { std::optional<DocumentVersion>(),
